--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,135 @@
+//! What users ask: checks of what they send, and the answers' forms.
+
+use crate::config::Config;
+use crate::http::Response;
+use crate::lead::type_allowed;
+use crate::view::JobView;
+use crate::wire::{Kind, MachineType, Submission};
+
+/// Most tasks of a job, as the protocol says.
+const TASKS_MAX: u32 = 100_000;
+/// Digits of a job's id at the most.
+const ID_DIGITS_MAX: usize = 18;
+const ID_PREFIX: &str = "j-";
+
+/// Whether a text has the form of a job id.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix(ID_PREFIX).is_some_and(|digits| {
+        (1..=ID_DIGITS_MAX).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+/// Reads a submission; the error says what is malformed.
+pub fn parse_submission(body: &[u8]) -> Result<Submission, String> {
+    let job: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    if !is_job_id(&job.id) {
+        return Err("Uid: not a job id".into());
+    }
+    if !(1..=TASKS_MAX).contains(&job.tasks) {
+        return Err(format!("Legs: not between 1 and {TASKS_MAX}"));
+    }
+    for (name, text) in [
+        ("Jobclass", &job.class),
+        ("Crew", &job.team),
+        ("Bundle", &job.image),
+    ] {
+        if text.is_empty() {
+            return Err(format!("{name}: is empty"));
+        }
+    }
+    for (name, value) in [
+        ("Cores", job.cpus),
+        ("Gpus", job.gpus),
+        ("MemoryGb", job.memory_gb),
+        ("ImageGb", job.image_gb),
+        ("ExpectedS", job.estimate_s),
+        ("WaypointS", job.checkpoint_s),
+        ("StashS", job.save_s),
+        ("DueS", job.deadline_s.unwrap_or(0.0)),
+    ] {
+        if !(value.is_finite() && value >= 0.0) {
+            return Err(format!("{name}: negative or not finite"));
+        }
+    }
+    Ok(job)
+}
+
+/// Why a job can never run, if it can't.
+pub fn never_runs(job: &Submission, config: &Config, types: &[MachineType]) -> Option<String> {
+    let Some(team) = config.team(&job.team) else {
+        return Some(format!("unknown team {}", job.team));
+    };
+    if !types.iter().any(|t| type_allowed(job, t)) {
+        return Some("a task fits no allowed machine type".into());
+    }
+    let at_once = match job.kind {
+        Kind::Array => 1.0,
+        Kind::Gang => f64::from(job.tasks),
+    };
+    let over = |each: f64, max: f64| max > 0.0 && each * at_once > max + 1e-6;
+    if over(job.cpus, team.cpus_max) || over(job.gpus, team.gpus_max) {
+        return Some("more than the team's limit".into());
+    }
+    None
+}
+
+/// The answer with a job's state.
+pub fn job_answer(status: u16, id: &str, job: &JobView) -> Response {
+    Response::json(status, &job.status(id))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub(crate) const JOB: &str = r#"{"Uid":"j-000412","Jobclass":"c","Crew":"red","Shape":"group",
+        "Urgency":"urgent","Legs":4,"Cores":8.0,"Gpus":0.0,"MemoryGb":16.0,"Bundle":"img",
+        "ImageGb":1.0,"Rigs":null,"Together":true,"Apart":false,"Loaner":true,"ExpectedS":240.0,
+        "WaypointS":30.0,"StashS":4.0,"DueS":null,"More":1}"#;
+
+    #[test]
+    fn malformed_submissions_are_told_from_those_that_can_never_run() {
+        let good = parse_submission(JOB.as_bytes()).unwrap();
+        for (from, to) in [
+            ("\"j-000412\"", "\"x-000412\""),
+            ("\"j-000412\"", "\"j-\""),
+            ("\"j-000412\"", "\"j-1/2\""),
+            ("\"j-000412\"", "17"),
+            ("\"Legs\":4", "\"Legs\":0"),
+            ("\"Legs\":4", "\"Legs\":100001"),
+            ("\"Legs\":4", "\"Legs\":4.5"),
+            ("\"Legs\":4", "\"Legs\":-4"),
+            ("\"Cores\":8.0", "\"Cores\":-8.0"),
+            ("\"Cores\":8.0", "\"Cores\":1e999"),
+            ("\"Cores\":8.0", "\"Cores\":\"8\""),
+            ("\"Cores\":8.0,", ""),
+            ("\"group\"", "\"crowd\""),
+            ("\"Together\":true", "\"Together\":null"),
+            ("\"Rigs\":null", "\"Rigs\":\"g8\""),
+            ("{\"Uid\"", "[{\"Uid\""),
+        ] {
+            assert!(JOB.contains(from), "{from}");
+            assert!(
+                parse_submission(JOB.replacen(from, to, 1).as_bytes()).is_err(),
+                "{from} -> {to}"
+            );
+        }
+        let config = crate::config::tests::sample();
+        let types = crate::testing::types();
+        assert_eq!(never_runs(&good, &config, &types), None);
+        let wrong = |change: fn(&mut Submission)| {
+            let mut job = good.clone();
+            change(&mut job);
+            never_runs(&job, &config, &types).is_some()
+        };
+        assert!(wrong(|j| j.team = "green".into()));
+        assert!(wrong(|j| j.cpus = 1000.0));
+        assert!(wrong(|j| j.tasks = 6));
+        assert!(wrong(|j| j.zone = Some("nowhere".into())));
+        assert!(wrong(|j| j.types = Some(vec!["none".into()])));
+        assert!(!wrong(|j| {
+            j.tasks = 6;
+            j.kind = Kind::Array;
+        }));
+    }
+}
--- /dev/null
+++ b/src/autoscale.rs
@@ -0,0 +1,784 @@
+//! Rents machines for work that waits or is expected, and returns those that nothing needs.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+use crate::book::{JobIx, MachineIx, amount};
+use crate::config::Config;
+use crate::fleet::Role;
+use crate::lead::{Lead, type_allowed};
+use crate::pricing::Amount;
+use crate::rt::Time;
+use crate::wire::{ListedMachine, MachineState, MachineType, Rent, Submission};
+
+/// A sort of work: jobs of one class that may use the same machines.
+#[derive(Debug, Clone)]
+pub struct Class {
+    spec: Rc<Submission>,
+    /// What a task takes, smoothed.
+    amount: Amount,
+    /// Tasks of a job, smoothed.
+    job_tasks: f64,
+    /// Unfinished tasks at a time, smoothed.
+    level: f64,
+    /// Run time of a task, smoothed; the owners' estimate until one was seen.
+    run_s: f64,
+    runs_seen: bool,
+    /// Unfinished tasks now.
+    pending: f64,
+    bound: f64,
+    last_seen: Time,
+}
+
+/// Where machines come from.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolKey {
+    pub type_ix: usize,
+    pub spot: bool,
+    pub zone: Rc<str>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Pool {
+    refused_until: Time,
+    backoff_s: f64,
+}
+
+/// A call to the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudCall {
+    Types,
+    List { after: String },
+    Rent(Rent, Role),
+    Delete(Vec<String>),
+}
+
+/// What came of a call.
+#[derive(Debug, Clone)]
+pub enum CloudAnswer {
+    Types(Vec<MachineType>),
+    List(Vec<ListedMachine>, bool),
+    Rented(Vec<String>),
+    Deleted,
+    /// No machine of this kind now.
+    NoCapacity,
+    /// Surely not carried out, or carried out without a word: ask the same again.
+    Failed,
+}
+
+/// What the leader keeps of its dealings with the cloud.
+#[derive(Debug)]
+pub struct CloudBook {
+    pools: BTreeMap<PoolKey, Pool>,
+    next_request: u64,
+    rents: VecDeque<(Rent, Role)>,
+    deletes: Vec<MachineIx>,
+    /// Names returned, which a late list may still show.
+    returned: HashSet<String>,
+    list_after: Option<String>,
+    list_at: Time,
+    types_at: Time,
+    sized_at: Time,
+    pub(crate) listed_once: bool,
+}
+
+/// List intervals, as a ratio to the list's lag, and at least as many report intervals.
+const LIST_LAGS: f64 = 0.8;
+/// Interval of asking for prices, in leases of the workers.
+const TYPES_LEASES: f64 = 3.0;
+/// Sizing interval in report intervals.
+const SIZING_REPORTS: f64 = 0.3;
+/// Time over which levels are smoothed, in boot times.
+const LEVEL_BOOTS: f64 = 4.0;
+/// Pauses of a pool that refused, in boot times: the first and the longest.
+const REFUSED_BOOTS: f64 = 0.3;
+const REFUSED_BOOTS_MAX: f64 = 1.5;
+/// Machines rented with one request, as the protocol says.
+const RENT_MAX: u32 = 50;
+/// Machines returned with one request, as the protocol says.
+const DELETE_MAX: usize = 100;
+/// A machine is charged for at least this long.
+const CHARGED_S: f64 = 60.0;
+/// Waits shorter than this many boot times can only be kept with machines that are up already.
+const TIGHT_BOOTS: f64 = 1.5;
+/// A backlog of array tasks is to be worked off within this part of the time they may take.
+const BACKLOG_SHARE: f64 = 0.4;
+/// Names kept of returned machines.
+const RETURNED_KEPT: usize = 4096;
+
+impl CloudBook {
+    pub(crate) fn new(_config: &Config, now: Time) -> Self {
+        CloudBook {
+            pools: BTreeMap::new(),
+            next_request: 0,
+            rents: VecDeque::new(),
+            deletes: Vec::new(),
+            returned: HashSet::new(),
+            list_after: None,
+            list_at: now,
+            types_at: now,
+            sized_at: f64::NEG_INFINITY,
+            listed_once: false,
+        }
+    }
+}
+
+/// A machine in the eyes of the sizing: there, coming, or to be rented.
+struct Unit {
+    ix: Option<MachineIx>,
+    type_ix: usize,
+    spot: bool,
+    zone: Rc<str>,
+    room: Amount,
+    price: f64,
+    used: f64,
+    up: bool,
+    large: bool,
+    taken: bool,
+}
+
+impl Lead {
+    fn class_name(spec: &Submission) -> String {
+        format!(
+            "{}|{:?}|{:?}|{}",
+            spec.class, spec.types, spec.zone, spec.spot
+        )
+    }
+
+    /// A job came: its class is seen.
+    pub(crate) fn note_arrival(&mut self, ix: JobIx, now: Time) {
+        let job = &self.jobs[&ix];
+        let spec = job.spec.clone();
+        let tasks = f64::from(spec.tasks);
+        let class = self
+            .classes
+            .entry(Self::class_name(&spec))
+            .or_insert_with(|| Class {
+                amount: amount(&spec),
+                job_tasks: tasks,
+                level: 0.0,
+                run_s: spec.estimate_s,
+                runs_seen: false,
+                pending: 0.0,
+                bound: 0.0,
+                last_seen: now,
+                spec: spec.clone(),
+            });
+        let mix = |old: f64, new: f64| old * 0.8 + new * 0.2;
+        let a = amount(&spec);
+        class.amount = Amount {
+            cpus: mix(class.amount.cpus, a.cpus),
+            gpus: mix(class.amount.gpus, a.gpus),
+            memory_gb: mix(class.amount.memory_gb, a.memory_gb),
+        };
+        class.job_tasks = mix(class.job_tasks, tasks);
+        class.last_seen = now;
+    }
+
+    /// A task ran for so long.
+    pub(crate) fn note_run(&mut self, ix: JobIx, ran: f64) {
+        let name = Self::class_name(&self.jobs[&ix].spec);
+        if let Some(class) = self.classes.get_mut(&name) {
+            class.run_s = if class.runs_seen {
+                class.run_s * 0.95 + ran * 0.05
+            } else {
+                class.run_s * 0.5 + ran * 0.5
+            };
+            class.runs_seen = true;
+        }
+    }
+
+    /// Looks after machines: lost ones, needed ones, unneeded ones.
+    pub fn tend(&mut self, now: Time) {
+        self.expire(now);
+        self.find_lost(now);
+        let interval = self.config.deployment.workers.report_s * SIZING_REPORTS;
+        if now - self.cloud.sized_at >= interval {
+            let since = (now - self.cloud.sized_at).min(interval * 4.0);
+            self.cloud.sized_at = now;
+            self.size(since, now);
+        }
+    }
+
+    /// Machines that died, never came up, fail their tasks or are no longer heard of.
+    fn find_lost(&mut self, now: Time) {
+        let w = &self.config.deployment.workers;
+        let t = &self.config.tunables;
+        let silent_s = w.report_s * t.silent_reports;
+        let up = || self.fleet.machines.values().filter(|m| m.is_up());
+        let heard = up()
+            .filter(|m| m.heard.is_some_and(|h| now - h < silent_s))
+            .count();
+        // When most are silent, it is rather this node that is cut off.
+        let trusted = heard * 2 >= up().count();
+        let mut lost = Vec::new();
+        for (ix, m) in &self.fleet.machines {
+            if m.leaving {
+                continue;
+            }
+            let boot_s = m.type_ix.map_or(w.lease_s, |t| self.types[t].boot_s);
+            let gone = if m.suspect {
+                m.slots
+                    .values()
+                    .all(|s| s.over || s.running_since.is_none())
+                    || now - m.cool_until > w.lease_s
+            } else if let Some(h) = m.heard {
+                trusted && now - h > silent_s
+            } else if let Some(up_at) = m.listed_running {
+                trusted && now - up_at.max(self.began) > silent_s + w.report_s
+            } else if m.listed_at.is_some() || m.type_ix.is_some() {
+                now - m.rented > boot_s * t.lost_boots
+            } else {
+                // Known only from a former leader's notes.
+                trusted && now - self.began > silent_s + w.report_s
+            };
+            if gone {
+                lost.push(*ix);
+            }
+        }
+        for ix in lost {
+            self.give_back(ix, "lost");
+        }
+    }
+
+    fn give_back(&mut self, ix: MachineIx, why: &str) {
+        if let Some(m) = self.fleet.machines.get_mut(&ix)
+            && !m.leaving
+        {
+            tracing::info!("returning {}: {why}", m.name);
+            m.leaving = true;
+            self.cloud.deletes.push(ix);
+        }
+    }
+
+    /// How soon tasks of a class should start.
+    fn tightest_wait(&self, spec: &Submission) -> f64 {
+        let team_has_guarantee = self
+            .config
+            .team(&spec.team)
+            .is_some_and(|t| t.cpus > 0.0 || t.gpus > 0.0);
+        self.config
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(&spec.class),
+                "guarantee" => team_has_guarantee,
+                _ => false,
+            })
+            .filter_map(|o| o.within_s)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Within what time jobs of a class should be done.
+    fn tightest_finish(&self, spec: &Submission) -> Option<f64> {
+        self.config
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(&spec.class))
+            .filter_map(|o| o.within_s)
+            .min_by(f64::total_cmp)
+    }
+
+    /// Decides which machines are needed, rents what lacks and lets go of what is too many.
+    fn size(&mut self, since: f64, now: Time) {
+        for class in self.classes.values_mut() {
+            class.pending = 0.0;
+            class.bound = 0.0;
+        }
+        let report_s = self.config.deployment.workers.report_s;
+        for job in self.jobs.values().filter(|j| j.ended.is_none()) {
+            let waiting = if job.not_before > now {
+                0
+            } else {
+                job.pending()
+            };
+            if let Some(class) = self.classes.get_mut(&Self::class_name(&job.spec)) {
+                class.pending += f64::from(waiting);
+                class.bound += f64::from(job.bound);
+            }
+        }
+        let boot_s = self.types.iter().map(|t| t.boot_s).fold(report_s, f64::max);
+        let mix = (-since / (boot_s * LEVEL_BOOTS)).exp();
+        for class in self.classes.values_mut() {
+            let tasks = class.pending + class.bound;
+            class.level = class.level * mix + tasks * (1.0 - mix);
+        }
+        let mut units = self.units(now);
+        let mut rents: BTreeMap<(PoolKey, Role), u32> = BTreeMap::new();
+        let mut classes: Vec<Class> = self.classes.values().cloned().collect();
+        // Work that takes most of a machine chooses first, then what has least choice.
+        classes.sort_by_key(|c| {
+            let large = self.is_large_class(c);
+            let kinds = self.kinds(&c.spec).len();
+            (!large, kinds, c.spec.class.clone())
+        });
+        for class in &classes {
+            let want = self.want(class);
+            self.cover(class, want, &mut units, &mut rents, now);
+        }
+        for unit in &units {
+            let Some(m) = unit.ix.and_then(|ix| self.fleet.machines.get_mut(&ix)) else {
+                continue;
+            };
+            if unit.taken {
+                m.draining = false;
+                let role = if unit.large {
+                    Role::Large
+                } else {
+                    Role::Shared
+                };
+                // A machine changes what it is kept for only while it is empty, unless it is
+                // opened for all.
+                if m.is_empty() || role == Role::Shared {
+                    m.role = role;
+                }
+                if m.is_empty() {
+                    m.idle_since = Some(now);
+                }
+            }
+        }
+        self.let_go(&units, now);
+        if self.cloud.rents.is_empty() {
+            for ((pool, role), count) in rents {
+                let mut left = count;
+                while left > 0 {
+                    let count = left.min(RENT_MAX);
+                    left -= count;
+                    self.cloud.next_request += 1;
+                    let rent = Rent {
+                        request: format!("r-{}-{}", self.token, self.cloud.next_request),
+                        type_name: self.types[pool.type_ix].name.clone(),
+                        zone: pool.zone.to_string(),
+                        spot: pool.spot,
+                        count,
+                    };
+                    tracing::info!("renting {rent:?}");
+                    self.cloud.rents.push_back((rent, role));
+                }
+            }
+        }
+    }
+
+    fn kinds(&self, spec: &Submission) -> Vec<(usize, bool)> {
+        let mut kinds = Vec::new();
+        for (ix, t) in self.types.iter().enumerate() {
+            if type_allowed(spec, t) {
+                kinds.push((ix, false));
+                if spec.spot {
+                    kinds.push((ix, true));
+                }
+            }
+        }
+        kinds
+    }
+
+    fn is_large_on(&self, amount: Amount, type_ix: usize) -> bool {
+        amount.largest_share(self.capacity_of(type_ix)) > self.config.tunables.large_share
+    }
+
+    fn is_large_class(&self, class: &Class) -> bool {
+        let kinds = self.kinds(&class.spec);
+        !kinds.is_empty()
+            && kinds
+                .iter()
+                .all(|(t, _)| self.is_large_on(class.amount, *t))
+    }
+
+    /// For how many tasks of a class at once there should be machines.
+    fn want(&self, class: &Class) -> f64 {
+        let boot_s = self
+            .kinds(&class.spec)
+            .iter()
+            .map(|(t, _)| self.types[*t].boot_s)
+            .fold(f64::INFINITY, f64::min);
+        let waiting = if self.is_large_class(class) {
+            class.pending
+        } else {
+            let finish = self
+                .tightest_finish(&class.spec)
+                .unwrap_or(boot_s * LEVEL_BOOTS);
+            let horizon = (finish * BACKLOG_SHARE).max(class.run_s).max(1.0);
+            class.pending * (class.run_s / horizon).min(1.0)
+        };
+        let now_needed = class.bound + waiting;
+        let spare = if self.tightest_wait(&class.spec) < boot_s * TIGHT_BOOTS {
+            let burst = (class.level * class.job_tasks).sqrt();
+            class.level + self.config.tunables.spare_ratio * burst
+        } else {
+            0.0
+        };
+        now_needed.max(spare.ceil())
+    }
+
+    /// The machines that are there or coming, cheapest and fullest first.
+    fn units(&self, now: Time) -> Vec<Unit> {
+        let t = &self.config.tunables;
+        let mut units: Vec<Unit> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| !m.leaving && !m.suspect && m.notice.is_none())
+            .filter_map(|(ix, m)| {
+                let type_ix = m.type_ix?;
+                let late = !m.is_up() && now - m.rented > self.types[type_ix].boot_s * t.late_boots;
+                let capacity = self.capacity_of(type_ix);
+                (!late).then(|| Unit {
+                    ix: Some(*ix),
+                    type_ix,
+                    spot: m.spot,
+                    zone: m.zone.clone(),
+                    room: capacity,
+                    price: self.unit_price(type_ix, m.spot),
+                    used: m.used.largest_share(capacity),
+                    up: m.is_up(),
+                    large: m.role == Role::Large && !m.is_empty(),
+                    taken: false,
+                })
+            })
+            .collect();
+        units.sort_by(|a, b| {
+            (b.used > 0.0)
+                .cmp(&(a.used > 0.0))
+                .then(a.price.total_cmp(&b.price))
+                .then(b.up.cmp(&a.up))
+                .then(b.used.total_cmp(&a.used))
+        });
+        units
+    }
+
+    fn unit_price(&self, type_ix: usize, spot: bool) -> f64 {
+        let t = &self.types[type_ix];
+        let price = if spot { t.spot_price } else { t.price };
+        price / t.cpus.max(1.0)
+    }
+
+    /// Finds machines for `want` tasks of a class: those there are, then rented ones.
+    fn cover(
+        &self,
+        class: &Class,
+        want: f64,
+        units: &mut Vec<Unit>,
+        rents: &mut BTreeMap<(PoolKey, Role), u32>,
+        now: Time,
+    ) {
+        let spec = &class.spec;
+        let mut left = want;
+        let kinds = self.kinds(spec);
+        let large_class = self.is_large_class(class);
+        for unit in units.iter_mut() {
+            if left <= 1e-6 {
+                return;
+            }
+            if !kinds.contains(&(unit.type_ix, unit.spot))
+                || spec.zone.as_ref().is_some_and(|z| **z != *unit.zone)
+            {
+                continue;
+            }
+            let large = self.is_large_on(class.amount, unit.type_ix);
+            if unit.taken && unit.large != large_class {
+                continue;
+            }
+            let fits = tasks_that_fit(class.amount, unit.room);
+            if fits < 1.0 {
+                continue;
+            }
+            // A machine that is busy with small tasks is not there for large ones.
+            if large && !unit.taken && unit.used > 0.0 && !unit.large {
+                continue;
+            }
+            let take = fits.min(left);
+            unit.room = unit.room.minus(class.amount.times(take));
+            unit.taken = true;
+            unit.large = large_class;
+            left -= take;
+        }
+        while left > 1e-6 {
+            let Some((pool, per_machine)) = self.best_pool(class, left, now) else {
+                return;
+            };
+            let machines = (left / per_machine).ceil().min(f64::from(RENT_MAX));
+            let role = if large_class {
+                Role::Large
+            } else {
+                Role::Shared
+            };
+            *rents.entry((pool.clone(), role)).or_insert(0) += machines as u32;
+            for _ in 0..machines as u32 {
+                let take = per_machine.min(left);
+                let capacity = self.capacity_of(pool.type_ix);
+                units.push(Unit {
+                    ix: None,
+                    type_ix: pool.type_ix,
+                    spot: pool.spot,
+                    zone: pool.zone.clone(),
+                    room: capacity.minus(class.amount.times(take)),
+                    price: self.unit_price(pool.type_ix, pool.spot),
+                    used: 0.0,
+                    up: false,
+                    large: large_class,
+                    taken: true,
+                });
+                left -= take;
+            }
+        }
+    }
+
+    /// Where machines for `left` tasks of a class cost least, among pools that don't refuse now.
+    fn best_pool(&self, class: &Class, left: f64, now: Time) -> Option<(PoolKey, f64)> {
+        let mut best: Option<(f64, usize, PoolKey, f64)> = None;
+        for (type_ix, spot) in self.kinds(&class.spec) {
+            let t = &self.types[type_ix];
+            let per_machine = tasks_that_fit(class.amount, self.capacity_of(type_ix));
+            if per_machine < 1.0 {
+                continue;
+            }
+            let each = if spot { t.spot_price } else { t.price };
+            let cost = (left / per_machine).ceil() * each;
+            for zone in &t.zones {
+                if class.spec.zone.as_ref().is_some_and(|z| z != zone) {
+                    continue;
+                }
+                let pool = PoolKey {
+                    type_ix,
+                    spot,
+                    zone: zone.as_str().into(),
+                };
+                if self
+                    .cloud
+                    .pools
+                    .get(&pool)
+                    .is_some_and(|p| p.refused_until > now)
+                {
+                    continue;
+                }
+                let there = self
+                    .fleet
+                    .machines
+                    .values()
+                    .filter(|m| *m.zone == **zone && m.spot == spot)
+                    .count();
+                let better = best
+                    .as_ref()
+                    .is_none_or(|(c, n, _, _)| (cost, there) < (*c, *n));
+                if better {
+                    best = Some((cost, there, pool, per_machine));
+                }
+            }
+        }
+        best.map(|(_, _, pool, per_machine)| (pool, per_machine))
+    }
+
+    /// Drains and returns machines that have not been needed for a while.
+    fn let_go(&mut self, units: &[Unit], now: Time) {
+        let idle_ratio = self.config.tunables.idle_ratio;
+        let mut back = Vec::new();
+        for unit in units.iter().filter(|u| !u.taken) {
+            let Some(ix) = unit.ix else { continue };
+            let Some(m) = self.fleet.machines.get_mut(&ix) else {
+                continue;
+            };
+            if !m.is_empty() {
+                // Nothing new goes there, so that it can be returned.
+                if m.is_up() {
+                    m.draining = true;
+                }
+                continue;
+            }
+            let idle_s = self.types[unit.type_ix].boot_s * idle_ratio;
+            let rested = m.idle_since.is_some_and(|t| now - t > idle_s);
+            let paid = now - m.rented > CHARGED_S * 0.95;
+            if rested && paid && m.is_up() && m.slots.is_empty() {
+                back.push(ix);
+            }
+        }
+        for ix in back {
+            self.give_back(ix, "not needed");
+        }
+    }
+
+    /// The next call to make, if one is due.
+    pub fn next_cloud_call(&mut self, now: Time) -> Option<CloudCall> {
+        let w = &self.config.deployment.workers;
+        let lag = self.config.deployment.cloud.list_lag_s;
+        if !self.cloud.deletes.is_empty() {
+            let names: Vec<String> = self
+                .cloud
+                .deletes
+                .iter()
+                .filter_map(|ix| self.fleet.machines.get(ix))
+                .map(|m| m.name.to_string())
+                .take(DELETE_MAX)
+                .collect();
+            if !names.is_empty() {
+                return Some(CloudCall::Delete(names));
+            }
+            self.cloud.deletes.clear();
+        }
+        if let Some((rent, role)) = self.cloud.rents.front() {
+            return Some(CloudCall::Rent(rent.clone(), *role));
+        }
+        if let Some(after) = &self.cloud.list_after {
+            return Some(CloudCall::List {
+                after: after.clone(),
+            });
+        }
+        if now >= self.cloud.list_at {
+            self.cloud.list_at = now + (lag * LIST_LAGS).max(w.report_s);
+            return Some(CloudCall::List {
+                after: String::new(),
+            });
+        }
+        if now >= self.cloud.types_at {
+            self.cloud.types_at = now + w.lease_s * TYPES_LEASES;
+            return Some(CloudCall::Types);
+        }
+        None
+    }
+
+    /// Takes in what came of a call.
+    pub fn on_cloud(&mut self, call: CloudCall, answer: CloudAnswer, now: Time) {
+        match (call, answer) {
+            (CloudCall::Types, CloudAnswer::Types(types)) => {
+                // Prices change; the list of types only grows while a tenure lasts.
+                if types.len() == self.types.len()
+                    && types
+                        .iter()
+                        .zip(self.types.iter())
+                        .all(|(a, b)| a.name == b.name)
+                {
+                    self.types = Rc::new(types);
+                }
+            }
+            (CloudCall::List { .. }, CloudAnswer::List(machines, more)) => {
+                self.cloud.list_after = more
+                    .then(|| machines.last().map(|m| m.id.clone()))
+                    .flatten();
+                if !more {
+                    self.cloud.listed_once = true;
+                }
+                for listed in &machines {
+                    self.on_listed(listed, now);
+                }
+            }
+            (CloudCall::List { .. }, _) => self.cloud.list_after = None,
+            (CloudCall::Rent(rent, role), CloudAnswer::Rented(names)) => {
+                self.cloud.rents.pop_front();
+                self.on_rented(&rent, role, &names, now);
+            }
+            (CloudCall::Rent(rent, _), CloudAnswer::NoCapacity) => {
+                self.cloud.rents.pop_front();
+                self.refused(&rent, now);
+            }
+            (CloudCall::Delete(names), CloudAnswer::Deleted) => {
+                for name in names {
+                    if let Some(ix) = self.fleet.find(&name) {
+                        self.cloud.deletes.retain(|d| *d != ix);
+                        self.machine_gone(ix, now);
+                    }
+                    if self.cloud.returned.len() >= RETURNED_KEPT {
+                        self.cloud.returned.clear();
+                    }
+                    self.cloud.returned.insert(name);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn pool_of(&self, rent: &Rent) -> Option<PoolKey> {
+        Some(PoolKey {
+            type_ix: self.type_by_name(&rent.type_name)?,
+            spot: rent.spot,
+            zone: rent.zone.as_str().into(),
+        })
+    }
+
+    fn refused(&mut self, rent: &Rent, now: Time) {
+        let Some(key) = self.pool_of(rent) else {
+            return;
+        };
+        let boot_s = self.types[key.type_ix].boot_s;
+        let pool = self.cloud.pools.entry(key).or_default();
+        pool.backoff_s = (pool.backoff_s * 2.0)
+            .max(boot_s * REFUSED_BOOTS)
+            .min(boot_s * REFUSED_BOOTS_MAX);
+        pool.refused_until = now + pool.backoff_s;
+        self.cloud.sized_at = f64::NEG_INFINITY;
+    }
+
+    fn on_rented(&mut self, rent: &Rent, role: Role, names: &[String], now: Time) {
+        let type_ix = self.type_by_name(&rent.type_name);
+        for name in names {
+            let known = self.fleet.find(name).is_some();
+            let ix = self.fleet.enter(name, &rent.zone, now);
+            let capacity = type_ix.map(|t| self.capacity_of(t)).unwrap_or_default();
+            if let Some(m) = self.fleet.machines.get_mut(&ix) {
+                if !known {
+                    m.type_ix = type_ix;
+                    m.capacity = capacity;
+                    m.spot = rent.spot;
+                    m.rented = now;
+                }
+                m.role = role;
+            }
+        }
+        if (names.len() as u32) < rent.count {
+            self.refused(rent, now);
+        } else if let Some(pool) = self
+            .pool_of(rent)
+            .and_then(|k| self.cloud.pools.get_mut(&k))
+        {
+            pool.backoff_s = 0.0;
+        }
+    }
+
+    fn on_listed(&mut self, listed: &ListedMachine, now: Time) {
+        if self.cloud.returned.contains(&listed.id) {
+            return;
+        }
+        let type_ix = self.type_by_name(&listed.type_name);
+        let known = self.fleet.find(&listed.id).is_some();
+        let capacity = type_ix.map(|t| self.capacity_of(t)).unwrap_or_default();
+        let ix = self.fleet.enter(&listed.id, &listed.zone, now);
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        m.addr = m.addr.or_else(|| listed.addr.parse().ok());
+        m.listed_at = Some(now);
+        if m.type_ix.is_none() {
+            m.type_ix = type_ix;
+            m.capacity = capacity;
+            m.spot = listed.spot;
+        }
+        if !known {
+            m.rented = now - listed.age_s;
+        }
+        match listed.state {
+            MachineState::Booting => {}
+            MachineState::Running => {
+                m.listed_running.get_or_insert(now);
+                if m.heard.is_none() {
+                    m.direct_wanted = true;
+                }
+            }
+            MachineState::Failed => self.give_back(ix, "failed"),
+        }
+    }
+}
+
+/// How many tasks fit into a room.
+fn tasks_that_fit(task: Amount, room: Amount) -> f64 {
+    let per = |room: f64, task: f64| {
+        if task > 1e-9 {
+            ((room + 1e-6) / task).floor().max(0.0)
+        } else {
+            f64::INFINITY
+        }
+    };
+    per(room.cpus, task.cpus)
+        .min(per(room.gpus, task.gpus))
+        .min(per(room.memory_gb, task.memory_gb))
+        .min(1e6)
+}
--- /dev/null
+++ b/src/cluster.rs
@@ -0,0 +1,167 @@
+//! Links between controllers: short greetings in CBOR. They speed things up; no safety rests on
+//! them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Peer;
+use crate::rt::{Listener, Rt, Scope, Stream, Time};
+
+/// What controllers tell one another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Greeting {
+    pub host: String,
+    /// Seconds since the state service last answered, if it ever did.
+    pub state_s: Option<f64>,
+    /// Workers seen lately: where they are, for a new leader to call on.
+    pub workers: Vec<WorkerSeen>,
+}
+
+/// A worker as some controller last saw it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkerSeen {
+    pub machine: String,
+    pub zone: String,
+    pub addr: String,
+    pub session: u64,
+}
+
+/// What is known of the other controllers.
+#[derive(Default)]
+pub struct Peers {
+    heard: RefCell<HashMap<String, (Time, Greeting)>>,
+}
+
+impl Peers {
+    /// Whether some other controller is served by the state service, as far as heard lately.
+    pub fn any_has_state(&self, now: Time, within_s: f64) -> bool {
+        self.heard.borrow().values().any(|(at, g)| {
+            now - at < within_s && g.state_s.is_some_and(|s| s + (now - at) < within_s)
+        })
+    }
+
+    /// Workers that other controllers told of lately.
+    pub fn workers(&self, now: Time, within_s: f64) -> Vec<WorkerSeen> {
+        let heard = self.heard.borrow();
+        heard
+            .values()
+            .filter(|(at, _)| now - at < within_s)
+            .flat_map(|(_, g)| g.workers.iter().cloned())
+            .collect()
+    }
+
+    fn note(&self, greeting: Greeting, now: Time) {
+        let host = greeting.host.clone();
+        self.heard.borrow_mut().insert(host, (now, greeting));
+    }
+}
+
+/// Largest greeting taken.
+const FRAME_MAX: usize = 64 * 1024;
+/// Links from others at once, per known controller.
+const LINKS_PER_PEER: usize = 4;
+/// A link is given up after so many intervals without a word.
+const SILENT_INTERVALS: f64 = 5.0;
+
+/// Makes the greeting of the moment.
+pub type Greeter = Rc<dyn Fn() -> Greeting>;
+
+fn encode(greeting: &Greeting) -> Option<Vec<u8>> {
+    let mut frame = vec![0; 4];
+    ciborium::into_writer(greeting, &mut frame).ok()?;
+    let len = u32::try_from(frame.len() - 4).ok()?;
+    frame[..4].copy_from_slice(&len.to_be_bytes());
+    Some(frame)
+}
+
+async fn receive(stream: &mut Stream) -> Option<Greeting> {
+    let mut head = [0; 4];
+    read_exact(stream, &mut head).await?;
+    let len = u32::from_be_bytes(head) as usize;
+    if len > FRAME_MAX {
+        return None;
+    }
+    let mut body = vec![0; len];
+    read_exact(stream, &mut body).await?;
+    ciborium::from_reader(body.as_slice()).ok()
+}
+
+async fn read_exact(stream: &mut Stream, mut buf: &mut [u8]) -> Option<()> {
+    while !buf.is_empty() {
+        let n = stream.read(buf).await.ok().filter(|n| *n > 0)?;
+        buf = &mut buf[n..];
+    }
+    Some(())
+}
+
+/// Takes greetings from other controllers.
+pub async fn listen(rt: Rt, mut listener: Listener, known: usize, every_s: f64, peers: Rc<Peers>) {
+    let scope = Scope::new(&rt);
+    loop {
+        match listener.accept().await {
+            Ok(stream) if scope.live() < known * LINKS_PER_PEER => {
+                scope.spawn(incoming(rt.clone(), stream, every_s, peers.clone()));
+            }
+            Ok(_) => {}
+            Err(e) => {
+                tracing::warn!("accept from controllers: {e}");
+                rt.sleep(every_s).await;
+            }
+        }
+    }
+}
+
+async fn incoming(rt: Rt, mut stream: Stream, every_s: f64, peers: Rc<Peers>) {
+    let patience = every_s * SILENT_INTERVALS;
+    while let Ok(Some(greeting)) = rt.timeout(patience, receive(&mut stream)).await {
+        peers.note(greeting, rt.now());
+    }
+}
+
+/// Greets another controller, again and again.
+pub async fn greet(rt: Rt, peer: Peer, every_s: f64, greeter: Greeter) {
+    let patience = every_s * SILENT_INTERVALS;
+    loop {
+        if let Ok(Ok(mut stream)) = rt.timeout(patience, rt.connect(peer.addr)).await {
+            while let Some(frame) = encode(&greeter()) {
+                let sent = rt.timeout(patience, stream.write_all(&frame)).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    break;
+                }
+                rt.sleep(every_s).await;
+            }
+        }
+        rt.sleep(every_s).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn greetings_survive_the_wire_and_grow_old() {
+        let greeting = Greeting {
+            host: "n1".into(),
+            state_s: Some(0.5),
+            workers: vec![WorkerSeen {
+                machine: "i-1".into(),
+                zone: "a".into(),
+                addr: "10.0.0.1:9".into(),
+                session: 3,
+            }],
+        };
+        let frame = encode(&greeting).unwrap();
+        let back: Greeting = ciborium::from_reader(&frame[4..]).unwrap();
+        assert_eq!(back, greeting);
+        let peers = Peers::default();
+        peers.note(greeting, 10.0);
+        assert!(peers.any_has_state(11.0, 3.0));
+        assert!(!peers.any_has_state(12.9, 3.0));
+        assert_eq!(peers.workers(11.0, 3.0).len(), 1);
+        assert!(peers.workers(14.0, 3.0).is_empty());
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,568 @@
+//! Settings that the platform hands over, and the operators' own script.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+/// Why settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("{path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("{path}: {message}")]
+    Toml { path: String, message: String },
+    #[error("{field}: {problem}")]
+    Value { field: String, problem: String },
+    #[error("script: {0}")]
+    Script(String),
+}
+
+fn wrong(field: impl Into<String>, problem: impl Into<String>) -> ConfigError {
+    ConfigError::Value {
+        field: field.into(),
+        problem: problem.into(),
+    }
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "domain", default)]
+    pub zone: String,
+    #[serde(rename = "endpoint")]
+    pub addr: SocketAddr,
+}
+
+/// Addresses of the services used.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class of jobs. Kinds this version does not use are kept unread.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+/// The workers' times.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+/// The state service's limits.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// The cloud's limits.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// The limits of this process.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub cores: f64,
+    pub ram_mb: f64,
+    pub max_sockets: usize,
+}
+
+/// The deployment's figures.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    #[serde(rename = "count")]
+    pub nodes: usize,
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+}
+
+/// Everything that is in force.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Config {
+    #[serde(rename = "host_name")]
+    pub node: String,
+    #[serde(rename = "domain", default)]
+    pub zone: String,
+    #[serde(rename = "front")]
+    pub listen: SocketAddr,
+    #[serde(rename = "cluster_listen")]
+    pub peer_listen: SocketAddr,
+    #[serde(rename = "known", default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub deployment: Deployment,
+    #[serde(skip)]
+    pub tunables: Tunables,
+}
+
+/// What operators may set by script.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tunables {
+    /// ρ of the pricing rule.
+    pub rho: f64,
+    /// Worth of a task by its job's priority, from low to production.
+    pub weights: [f64; 4],
+    /// Share of a machine's largest resource above which a task counts as large.
+    pub large_share: f64,
+    /// Silence, in report intervals, after which a machine is replaced.
+    pub silent_reports: f64,
+    /// Machines kept for work expected, as a ratio to the estimate.
+    pub spare_ratio: f64,
+    /// How long an unneeded machine is kept, as a ratio to its boot time.
+    pub idle_ratio: f64,
+    /// Boot times after which a machine no longer counts as coming.
+    pub late_boots: f64,
+    /// Boot times after which a machine that never came up is returned.
+    pub lost_boots: f64,
+}
+
+impl Default for Tunables {
+    fn default() -> Self {
+        Tunables {
+            rho: 0.5,
+            weights: [1.0, 2.0, 4.0, 8.0],
+            large_share: 0.5,
+            silent_reports: 3.0,
+            spare_ratio: 1.0,
+            idle_ratio: 0.6,
+            late_boots: 1.7,
+            lost_boots: 3.0,
+        }
+    }
+}
+
+/// Above this ρ the lowest class could be refused although a machine has room.
+const RHO_MAX: f64 = 0.58;
+/// Memory and instructions a script may use.
+const SCRIPT_MEMORY: usize = 2 * 1024 * 1024;
+const SCRIPT_INSTRUCTIONS: u32 = 1_000_000;
+const SCRIPT_BYTES: u64 = 64 * 1024;
+
+impl Tunables {
+    /// Runs an operators' script, which returns a table of tunables.
+    pub fn from_script(source: &str) -> Result<Self, ConfigError> {
+        let fail = |e: mlua::Error| {
+            let text = e.to_string();
+            ConfigError::Script(text.lines().next().unwrap_or("failed").to_owned())
+        };
+        let libs = mlua::StdLib::MATH | mlua::StdLib::TABLE | mlua::StdLib::STRING;
+        let lua = mlua::Lua::new_with(libs, mlua::LuaOptions::default()).map_err(fail)?;
+        lua.set_memory_limit(SCRIPT_MEMORY).map_err(fail)?;
+        // Nothing from outside: the base library's ways to files and code are taken away.
+        for name in [
+            "dofile",
+            "loadfile",
+            "load",
+            "require",
+            "print",
+            "collectgarbage",
+        ] {
+            lua.globals().set(name, mlua::Value::Nil).map_err(fail)?;
+        }
+        lua.set_hook(
+            mlua::HookTriggers::new().every_nth_instruction(SCRIPT_INSTRUCTIONS),
+            |_, _| Err(mlua::Error::runtime("takes too long")),
+        )
+        .map_err(fail)?;
+        let table: mlua::Table = lua
+            .load(source)
+            .set_name("=script")
+            .set_mode(mlua::chunk::ChunkMode::Text)
+            .eval()
+            .map_err(fail)?;
+        let mut t = Tunables::default();
+        for pair in table.pairs::<String, mlua::Value>() {
+            let (name, value) = pair.map_err(fail)?;
+            if name == "weights" {
+                let mlua::Value::Table(weights) = value else {
+                    return Err(ConfigError::Script("weights: not a table".into()));
+                };
+                for pair in weights.pairs::<String, f64>() {
+                    let (class, weight) = pair.map_err(fail)?;
+                    let at = match class.as_str() {
+                        "low" => 0,
+                        "normal" => 1,
+                        "high" => 2,
+                        "production" => 3,
+                        _ => {
+                            return Err(ConfigError::Script(format!(
+                                "weights.{class}: no such priority"
+                            )));
+                        }
+                    };
+                    t.weights[at] = weight;
+                }
+                continue;
+            }
+            let slot = match name.as_str() {
+                "rho" => &mut t.rho,
+                "large_share" => &mut t.large_share,
+                "silent_reports" => &mut t.silent_reports,
+                "spare_ratio" => &mut t.spare_ratio,
+                "idle_ratio" => &mut t.idle_ratio,
+                "late_boots" => &mut t.late_boots,
+                "lost_boots" => &mut t.lost_boots,
+                _ => return Err(ConfigError::Script(format!("{name}: no such tunable"))),
+            };
+            *slot = match value {
+                mlua::Value::Number(n) => n,
+                mlua::Value::Integer(n) => n as f64,
+                _ => return Err(ConfigError::Script(format!("{name}: not a number"))),
+            };
+        }
+        t.check()?;
+        Ok(t)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let range = |name: &str, value: f64, low: f64, high: f64| {
+            if value >= low && value <= high {
+                Ok(())
+            } else {
+                Err(wrong(name, format!("{value} is outside {low} to {high}")))
+            }
+        };
+        if !(self.rho > 0.0 && self.rho < RHO_MAX) {
+            return Err(wrong(
+                "rho",
+                format!("{} is not between 0 and {RHO_MAX}", self.rho),
+            ));
+        }
+        for (weight, name) in self
+            .weights
+            .iter()
+            .zip(["low", "normal", "high", "production"])
+        {
+            range(&format!("weights.{name}"), *weight, 1.0, 1e6)?;
+        }
+        if self.weights[0] != 1.0 {
+            return Err(wrong("weights.low", "the lowest priority weighs 1"));
+        }
+        if self.weights.windows(2).any(|w| w[0] > w[1]) {
+            return Err(wrong("weights", "must not fall with rising priority"));
+        }
+        range("large_share", self.large_share, 0.05, 1.0)?;
+        range("silent_reports", self.silent_reports, 2.0, 100.0)?;
+        range("spare_ratio", self.spare_ratio, 0.0, 10.0)?;
+        range("idle_ratio", self.idle_ratio, 0.0, 100.0)?;
+        range("late_boots", self.late_boots, 1.0, 100.0)?;
+        range("lost_boots", self.lost_boots, self.late_boots, 1000.0)
+    }
+}
+
+impl Config {
+    /// Reads and checks a settings file and, if there is one, the operators' script.
+    pub fn load(file: &Path, script: Option<&Path>) -> Result<Self, ConfigError> {
+        let mut config = Self::parse(&read(file)?, &file.display().to_string())?;
+        if let Some(script) = script {
+            config.tunables = Tunables::from_script(&read(script)?)?;
+        }
+        Ok(config)
+    }
+
+    /// Parses and checks the text of a settings file.
+    pub fn parse(text: &str, path: &str) -> Result<Self, ConfigError> {
+        let config: Config = toml::from_str(text).map_err(|e| ConfigError::Toml {
+            path: path.to_owned(),
+            message: one_line(&e, text),
+        })?;
+        config.check()?;
+        Ok(config)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let d = &self.deployment;
+        if self.node.is_empty() {
+            return Err(wrong("host_name", "is empty"));
+        }
+        if d.nodes == 0 {
+            return Err(wrong("deployment.count", "is zero"));
+        }
+        for (i, peer) in self.peers.iter().enumerate() {
+            if peer.name == self.node || self.peers[..i].iter().any(|p| p.name == peer.name) {
+                return Err(wrong("known.host_name", format!("{} twice", peer.name)));
+            }
+        }
+        let positive = [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.gang_wait_s", d.workers.gang_wait_s),
+            ("deployment.workers.gang_peer_s", d.workers.gang_peer_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+            ("deployment.limits.cores", d.limits.cores),
+            ("deployment.limits.ram_mb", d.limits.ram_mb),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(wrong(field, format!("{value} is not above zero")));
+            }
+        }
+        if !(d.cloud.list_lag_s.is_finite() && d.cloud.list_lag_s >= 0.0) {
+            return Err(wrong(
+                "deployment.cloud.list_lag_s",
+                format!("{} is negative or not finite", d.cloud.list_lag_s),
+            ));
+        }
+        if d.state.txn_ops == 0 {
+            return Err(wrong("deployment.state.txn_ops", "is zero"));
+        }
+        if d.limits.max_sockets < SOCKETS_MIN {
+            return Err(wrong(
+                "deployment.limits.max_sockets",
+                format!("{} is below {SOCKETS_MIN}", d.limits.max_sockets),
+            ));
+        }
+        for (i, team) in d.teams.iter().enumerate() {
+            if d.teams[..i].iter().any(|t| t.name == team.name) {
+                return Err(wrong("deployment.teams", format!("{} twice", team.name)));
+            }
+            for (name, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(wrong(
+                        format!("deployment.teams.{}.{name}", team.name),
+                        format!("{value} is negative or not finite"),
+                    ));
+                }
+            }
+        }
+        for o in &d.objectives {
+            for (name, value) in [("within_s", o.within_s), ("share", o.share)] {
+                if value.is_some_and(|v| !(v.is_finite() && v >= 0.0)) {
+                    return Err(wrong(
+                        format!("deployment.objectives.{name}"),
+                        "is negative or not finite",
+                    ));
+                }
+            }
+        }
+        if self.leader_life_s() < LEASE_LIFE_MIN_S {
+            return Err(wrong(
+                "deployment.workers",
+                "lease_s and report_s leave no room for a leader's lease",
+            ));
+        }
+        if self.leader_life_s() + self.off_after_s() >= d.workers.cancel_s {
+            return Err(wrong(
+                "deployment.workers.cancel_s",
+                "is too short for the workers' lease and a change of leader",
+            ));
+        }
+        self.tunables.check()
+    }
+
+    /// Life of the leader's lease.
+    pub fn leader_life_s(&self) -> f64 {
+        let w = &self.deployment.workers;
+        (w.lease_s * LIFE_OF_LEASE).min(w.report_s * LIFE_OF_REPORT)
+    }
+
+    /// Silence after which a worker has surely ended its tasks.
+    pub fn off_after_s(&self) -> f64 {
+        let lease = self.deployment.workers.lease_s;
+        lease * (1.0 + DRIFT) + lease * MARGIN_OF_LEASE
+    }
+
+    /// Longest time within which a life granted now may be trusted.
+    pub fn trusted_life_s(&self) -> f64 {
+        let life = self.leader_life_s();
+        life * (1.0 - DRIFT) - life * MARGIN_OF_LIFE
+    }
+
+    /// Most tasks kept in one stored value, so that the fullest still fits.
+    pub fn chunk_tasks(&self) -> u32 {
+        ((self.deployment.state.value_kb * 1024.0 / BYTES_PER_TASK) as u32).max(1)
+    }
+
+    /// A team by its name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.deployment.teams.iter().find(|t| t.name == name)
+    }
+}
+
+/// Clocks drift apart by at most this; doubled, since two clocks meet.
+pub const DRIFT: f64 = 0.001;
+const LIFE_OF_LEASE: f64 = 0.3;
+const LIFE_OF_REPORT: f64 = 1.7;
+const LEASE_LIFE_MIN_S: f64 = 0.1;
+const MARGIN_OF_LEASE: f64 = 0.03;
+const MARGIN_OF_LIFE: f64 = 0.1;
+const BYTES_PER_TASK: f64 = 56.0;
+const SOCKETS_MIN: usize = 16;
+
+fn read(file: &Path) -> Result<String, ConfigError> {
+    let fail = |source| ConfigError::Read {
+        path: file.display().to_string(),
+        source,
+    };
+    let meta = std::fs::metadata(file).map_err(fail)?;
+    if meta.len() > SCRIPT_BYTES * 16 {
+        return Err(wrong(file.display().to_string(), "is too large"));
+    }
+    std::fs::read_to_string(file).map_err(fail)
+}
+
+fn one_line(e: &toml::de::Error, text: &str) -> String {
+    let line = e
+        .span()
+        .and_then(|s| text.get(..s.start))
+        .map(|before| before.matches('\n').count() + 1);
+    let message = e.message().lines().next().unwrap_or("not valid").to_owned();
+    match line {
+        Some(line) => format!("line {line}: {message}"),
+        None => message,
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub(crate) const SAMPLE: &str = r#"
+host_name = "n0"
+domain = "north"
+front = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+later = "unknown fields are ignored"
+[[known]]
+host_name = "n1"
+domain = "south"
+endpoint = "127.0.0.2:8081"
+[services]
+cloud = "127.0.0.9:1"
+state = "127.0.0.9:2"
+[deployment]
+count = 2
+zones = ["north", "south"]
+skew_ms = 250.0
+[[deployment.teams]]
+name = "red"
+cpus = 0.0
+cpus_max = 40.0
+gpus = 0.0
+gpus_max = 0.0
+[[deployment.teams]]
+name = "blue"
+cpus = 20.0
+[deployment.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 50.0
+[deployment.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 2.0
+list_lag_s = 5.0
+[deployment.limits]
+cores = 0.1
+ram_mb = 64.0
+max_sockets = 1000
+"#;
+
+    pub(crate) fn sample() -> Config {
+        Config::parse(SAMPLE, "sample").unwrap()
+    }
+
+    #[test]
+    fn wrong_settings_are_named_in_one_line() {
+        assert_eq!(sample().team("red").unwrap().cpus, 0.0);
+        for (from, to, named) in [
+            ("write_rps = 20.0", "write_rps = 0.0", "write_rps"),
+            ("lease_s = 20.0", "lease_s = -1.0", "lease_s"),
+            ("lease_s = 20.0", "lease_s = nan", "lease_s"),
+            ("report_s = 3.0", "report_s = inf", "report_s"),
+            ("127.0.0.9:1", "nowhere", "line 13"),
+            ("cpus = 20.0", "cpus = -20.0", "teams.blue.cpus"),
+            ("cancel_s = 50.0", "cancel_s = 21.0", "cancel_s"),
+            ("rps = 2.0", "rps = = 2.0", "line"),
+            ("txn_ops = 16", "", "txn_ops"),
+        ] {
+            let text = SAMPLE.replacen(from, to, 1);
+            let error = Config::parse(&text, "file").unwrap_err().to_string();
+            assert!(error.contains(named), "{error}");
+            assert!(!error.contains('\n'), "{error}");
+        }
+    }
+
+    #[test]
+    fn scripts_set_tunables_only_and_are_bounded() {
+        let t = Tunables::from_script("return { rho = 0.1 * 3, weights = { high = 5 } }").unwrap();
+        assert!((t.rho - 0.3).abs() < 1e-9);
+        assert_eq!(t.weights, [1.0, 2.0, 5.0, 8.0]);
+        for bad in [
+            "return { rho = 0.6 }",
+            "return { rho = 0/0 }",
+            "return { weights = { low = 2 } }",
+            "return { colour = 1 }",
+            "return 3",
+            "while true do end",
+            "local t = {} for i = 1, 1e9 do t[i] = i end return t",
+            "return io.open('/etc/hostname')",
+            "return load('return {}')()",
+            "error('no')",
+        ] {
+            let error = Tunables::from_script(bad).unwrap_err().to_string();
+            assert!(!error.contains('\n'), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/election.rs
@@ -0,0 +1,114 @@
+//! Leadership: a key attached to a lease. The key's revision is the token.
+
+use std::rc::Rc;
+
+use serde_json::value::to_raw_value;
+
+use crate::config::Config;
+use crate::lead::TxnOutcome;
+use crate::rt::{Rt, Time};
+use crate::store::{Renewal, Store};
+use crate::view::{LeaderRecord, key};
+use crate::wire::{Change, Condition, Txn};
+
+/// An office held: good while `trusted_until` has not passed.
+#[derive(Debug, Clone, Copy)]
+pub struct Tenure {
+    pub token: u64,
+    pub lease: u64,
+    /// The lease is trusted until then, counted from when its last renewal was sent.
+    pub trusted_until: Time,
+}
+
+/// What became of a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kept {
+    Yes,
+    /// No word; the office may still be ours, later.
+    Unsure,
+    No,
+}
+
+/// Tries to take the office. None if another has it or nothing is known.
+pub async fn stand(
+    rt: &Rt,
+    store: &Store,
+    config: &Rc<Config>,
+    incarnation: u64,
+) -> Option<Tenure> {
+    let sent = rt.now();
+    let lease = match store.lease(config.leader_life_s()).await {
+        Ok(lease) => lease,
+        Err(e) => {
+            tracing::debug!("no lease: {e}");
+            return None;
+        }
+    };
+    let record = LeaderRecord {
+        host: config.node.clone(),
+        incarnation,
+    };
+    let txn = Txn {
+        conditions: vec![Condition {
+            key: key::leader(),
+            version: 0,
+        }],
+        changes: vec![Change::Put {
+            key: key::leader(),
+            value: to_raw_value(&record).ok()?,
+            lease: Some(lease),
+        }],
+    };
+    let tenure = |token| Tenure {
+        token,
+        lease,
+        trusted_until: sent + config.trusted_life_s(),
+    };
+    let outcome = store.txn(&txn).await;
+    if let TxnOutcome::Applied(token) = outcome {
+        return Some(tenure(token));
+    }
+    if outcome == TxnOutcome::Unknown
+        && let Ok(Some(found)) = store.get(&key::leader()).await
+    {
+        // Our own copy may have been applied without a word.
+        let ours = serde_json::from_str::<LeaderRecord>(found.value.get())
+            .is_ok_and(|r| r == record)
+            && found.lease == Some(lease);
+        if ours {
+            return Some(tenure(found.version));
+        }
+    }
+    // A copy that is applied late fails: its lease has ended.
+    let _ = store.end_lease(lease).await;
+    None
+}
+
+/// Ends the lease of an older process of this host, which can't be alive any more.
+pub async fn depose_older_self(store: &Store, config: &Config, incarnation: u64) {
+    if let Ok(Some(found)) = store.get(&key::leader()).await
+        && let Ok(record) = serde_json::from_str::<LeaderRecord>(found.value.get())
+        && record.host == config.node
+        && record.incarnation != incarnation
+        && let Some(lease) = found.lease
+    {
+        tracing::info!("ending the lease of this host's older process");
+        let _ = store.end_lease(lease).await;
+    }
+}
+
+/// Renews an office.
+pub async fn keep(rt: &Rt, store: &Store, config: &Config, tenure: &mut Tenure) -> Kept {
+    let sent = rt.now();
+    match store.renew(tenure.lease).await {
+        Ok(Renewal::Renewed) => {
+            tenure.trusted_until = sent + config.trusted_life_s();
+            Kept::Yes
+        }
+        Ok(Renewal::Ended) => Kept::No,
+        Err(e) => {
+            tracing::debug!("lease not renewed: {e}");
+            Kept::Unsure
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,632 @@
+//! What the leader knows of each machine and its worker, and when a task is surely off it.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::book::{JobIx, MachineIx, Task};
+use crate::lead::{Lead, job_task, split_task};
+use crate::pricing::Amount;
+use crate::rt::Time;
+use crate::wire::{Command, Report, TaskState, Why};
+
+/// A task's attempt on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SlotKey {
+    pub job: JobIx,
+    pub task: u32,
+    pub attempt: u64,
+}
+
+/// What is known of an attempt that may be on a machine.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub amount: Amount,
+    /// Version of the chunk that holds the intent; nothing is launched before it is stored.
+    pub ver: u32,
+    /// Bound or seen before this tenure: a former leader may have launched it.
+    pub inherited: bool,
+    /// As last reported.
+    pub state: Option<TaskState>,
+    /// The launch went out in the answer to the last report.
+    pub sent: bool,
+    /// It is to be stopped, with this grace.
+    pub stop: Option<f64>,
+    pub placed: Time,
+    /// First seen with its image.
+    pub running_since: Option<Time>,
+    /// Completed; waits to be stored and reaped, and takes no room.
+    pub over: bool,
+}
+
+/// What a machine is kept for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Role {
+    /// Tasks that share machines.
+    Shared,
+    /// Tasks that take most of a machine.
+    Large,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    pub name: Rc<str>,
+    pub addr: Option<SocketAddr>,
+    pub type_ix: Option<usize>,
+    pub zone: Rc<str>,
+    pub spot: bool,
+    pub capacity: Amount,
+    pub session: u64,
+    pub seq: u64,
+    /// Highest token its worker has shown.
+    pub token: u64,
+    /// When this tenure last had a report from it.
+    pub heard: Option<Time>,
+    /// When the last report was received that was answered 200 in this tenure.
+    pub answered: Option<Time>,
+    /// When this leader came to know it.
+    pub since: Time,
+    /// When it was rented, as far as known.
+    pub rented: Time,
+    /// When the list first showed it running.
+    pub listed_running: Option<Time>,
+    pub listed_at: Option<Time>,
+    /// Its return has been asked for.
+    pub leaving: bool,
+    /// When the cloud takes it.
+    pub notice: Option<Time>,
+    pub slots: BTreeMap<SlotKey, Slot>,
+    pub used: Amount,
+    pub price: f64,
+    pub draining: bool,
+    pub suspect: bool,
+    pub role: Role,
+    pub idle_since: Option<Time>,
+    /// Failures in a row, and the jobs whose tasks failed.
+    pub errors: u32,
+    pub error_jobs: HashSet<JobIx>,
+    pub cool_until: Time,
+    /// Images it was asked to fetch, the last ones.
+    pub images: Vec<Rc<str>>,
+    /// A direct message to its worker is wanted.
+    pub direct_wanted: bool,
+    pub direct_tried: Time,
+}
+
+/// Images remembered of a machine.
+const IMAGES_KEPT: usize = 8;
+/// Commands in one answer, so that its only line stays short.
+const COMMANDS_MAX: usize = 400;
+
+impl Machine {
+    pub(crate) fn new(name: Rc<str>, zone: Rc<str>, now: Time) -> Self {
+        Machine {
+            name,
+            addr: None,
+            type_ix: None,
+            zone,
+            spot: false,
+            capacity: Amount::default(),
+            session: 0,
+            seq: 0,
+            token: 0,
+            heard: None,
+            answered: None,
+            since: now,
+            rented: now,
+            listed_running: None,
+            listed_at: None,
+            leaving: false,
+            notice: None,
+            slots: BTreeMap::new(),
+            used: Amount::default(),
+            price: 0.0,
+            draining: false,
+            suspect: false,
+            role: Role::Shared,
+            idle_since: None,
+            errors: 0,
+            error_jobs: HashSet::new(),
+            cool_until: 0.0,
+            images: Vec::new(),
+            direct_wanted: false,
+            direct_tried: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Whether its worker has reported under this tenure.
+    pub fn is_up(&self) -> bool {
+        self.heard.is_some()
+    }
+
+    /// Whether nothing is or may be on it but what is over.
+    pub fn is_empty(&self) -> bool {
+        self.slots.values().all(|s| s.over)
+    }
+
+    pub(crate) fn add_slot(&mut self, key: SlotKey, slot: Slot) {
+        if !slot.over {
+            self.used = self.used.plus(slot.amount);
+        }
+        self.idle_since = None;
+        self.slots.insert(key, slot);
+    }
+
+    pub(crate) fn drop_slot(&mut self, key: &SlotKey, now: Time) -> Option<Slot> {
+        let slot = self.slots.remove(key)?;
+        if !slot.over {
+            self.release(slot.amount);
+        }
+        if self.is_empty() && self.idle_since.is_none() {
+            self.idle_since = Some(now);
+        }
+        Some(slot)
+    }
+
+    fn release(&mut self, amount: Amount) {
+        self.used = if self.is_empty() {
+            Amount::default()
+        } else {
+            self.used.minus(amount)
+        };
+    }
+
+    fn finish_slot(&mut self, key: &SlotKey, now: Time) {
+        if let Some(slot) = self.slots.get_mut(key)
+            && !slot.over
+        {
+            slot.over = true;
+            slot.state = Some(TaskState::Exited);
+            let amount = slot.amount;
+            self.release(amount);
+            if self.is_empty() {
+                self.idle_since = Some(now);
+            }
+        }
+    }
+
+    pub(crate) fn remember_image(&mut self, image: &str) {
+        if let Some(at) = self.images.iter().position(|i| &**i == image) {
+            let image = self.images.remove(at);
+            self.images.push(image);
+            return;
+        }
+        if self.images.len() >= IMAGES_KEPT {
+            self.images.remove(0);
+        }
+        self.images.push(image.into());
+    }
+}
+
+/// How a report came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The worker's own report; it waits for the answer.
+    Checkin,
+    /// The answer to a direct message.
+    Direct,
+}
+
+/// All machines known.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub machines: BTreeMap<MachineIx, Machine>,
+    by_name: HashMap<Rc<str>, MachineIx>,
+    next: MachineIx,
+}
+
+impl Fleet {
+    /// A machine by its name.
+    pub fn find(&self, name: &str) -> Option<MachineIx> {
+        self.by_name.get(name).copied()
+    }
+
+    /// A machine by its name, entered if it isn't known yet.
+    pub fn enter(&mut self, name: &str, zone: &str, now: Time) -> MachineIx {
+        if let Some(ix) = self.find(name) {
+            return ix;
+        }
+        let ix = self.next;
+        self.next += 1;
+        let name: Rc<str> = name.into();
+        self.by_name.insert(name.clone(), ix);
+        self.machines
+            .insert(ix, Machine::new(name, zone.into(), now));
+        ix
+    }
+
+    /// Strikes a machine off.
+    pub fn remove(&mut self, ix: MachineIx) -> Option<Machine> {
+        let machine = self.machines.remove(&ix)?;
+        self.by_name.remove(&machine.name);
+        Some(machine)
+    }
+}
+
+impl Lead {
+    /// Takes in a report; returns the commands for its answer. Only the answer to a worker's own
+    /// report may carry launches: those are never carried out late.
+    pub fn on_report(&mut self, report: &Report, source: Source, now: Time) -> Vec<Command> {
+        let ix = self.fleet.enter(&report.machine, &report.zone, now);
+        let type_ix = self.type_by_name(&report.type_name);
+        let capacity = type_ix.map(|t| self.capacity_of(t));
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return Vec::new();
+        };
+        m.addr = report.addr.parse().ok().or(m.addr);
+        m.zone = if *m.zone == *report.zone {
+            m.zone.clone()
+        } else {
+            report.zone.as_str().into()
+        };
+        m.spot = report.spot;
+        if let (Some(t), Some(capacity)) = (type_ix, capacity) {
+            m.type_ix = Some(t);
+            m.capacity = capacity;
+        }
+        if source == Source::Checkin {
+            m.answered = Some(now);
+        }
+        // An older message than one already seen tells nothing, and nothing is sent with its
+        // answer: the worker may have given up on it.
+        if (report.session, report.seq) <= (m.session, m.seq) {
+            return Vec::new();
+        }
+        let first = m.heard.is_none();
+        m.session = report.session;
+        m.seq = report.seq;
+        m.token = m.token.max(report.token);
+        m.heard = Some(now);
+        m.notice = report.notice_s.map(|s| now + s);
+        if first && m.idle_since.is_none() && m.is_empty() {
+            m.idle_since = Some(now);
+        }
+        let fenced = report.token >= self.token;
+
+        let mut seen = HashSet::with_capacity(report.tasks.len());
+        let mut commands = Vec::new();
+        for t in &report.tasks {
+            let Some((id, task)) = split_task(&t.task) else {
+                continue;
+            };
+            let known = self
+                .job_ix(id)
+                .filter(|j| task < self.jobs[j].spec.tasks)
+                .map(|job| SlotKey {
+                    job,
+                    task,
+                    attempt: t.attempt,
+                });
+            if let Some(key) = known {
+                seen.insert(key);
+            }
+            if t.state == TaskState::Exited {
+                let forget = match known {
+                    Some(key) => self.on_exit(ix, key, t.why.unwrap_or(Why::Other), fenced, now),
+                    None => fenced,
+                };
+                if forget {
+                    commands.push(Command::Forget {
+                        task: t.task.clone(),
+                        attempt: t.attempt,
+                    });
+                }
+            } else if let Some(key) = known {
+                self.on_alive(ix, key, t.state, now);
+            } else {
+                // Of a job that is over and forgotten.
+                commands.push(Command::Stop {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                    grace_s: 0.0,
+                });
+            }
+        }
+        self.on_absent(ix, &seen, source, fenced, now);
+        self.heed_notice(ix, now);
+        let rule = self.rule;
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return Vec::new();
+        };
+        if m.capacity.cpus > 0.0 {
+            m.price = rule.price_of_load(m.used.largest_share(m.capacity));
+        }
+        self.changed = true;
+        self.write_commands(ix, source, &mut commands);
+        commands
+    }
+
+    /// A task ended; whether it may be reaped.
+    fn on_exit(&mut self, ix: MachineIx, key: SlotKey, why: Why, fenced: bool, now: Time) -> bool {
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return false;
+        };
+        let known = m.slots.get(&key).cloned();
+        // An attempt of a former leader that has not been fenced off here: a late command of
+        // his could still bring it back once it is reaped.
+        if !fenced && known.as_ref().is_none_or(|s| s.inherited) {
+            return false;
+        }
+        if why == Why::Done {
+            m.finish_slot(&key, now);
+            m.errors = 0;
+            m.error_jobs.clear();
+            let known = known.filter(|s| !s.over);
+            if known.is_some() {
+                self.use_team(key.job, -1.0);
+            }
+            let ran = known.and_then(|s| s.running_since).map(|since| now - since);
+            self.on_task_done(key, ran, now);
+            let job = &self.jobs[&key.job];
+            return job.ended.is_some() || job.done_is_stored(key.task);
+        }
+        if known.is_some() {
+            if matches!(why, Why::Error | Why::Other | Why::Unknown) {
+                self.on_task_error(key.job, ix, now);
+            }
+            self.off(ix, key, now);
+        }
+        true
+    }
+
+    fn on_alive(&mut self, ix: MachineIx, key: SlotKey, state: TaskState, now: Time) {
+        let job = &self.jobs[&key.job];
+        let bound_here = matches!(job.task(key.task),
+            Task::Bound { machine, attempt, .. } if machine == ix && attempt == key.attempt);
+        let ended = job.ended.is_some();
+        let amount = job.amount();
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        if !m.slots.contains_key(&key) {
+            let stray = Slot {
+                amount,
+                ver: 0,
+                inherited: true,
+                state: None,
+                sent: false,
+                stop: None,
+                placed: now,
+                running_since: None,
+                over: false,
+            };
+            m.add_slot(key, stray);
+            self.slot_added(key.job);
+        }
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        let Some(slot) = m.slots.get_mut(&key) else {
+            return;
+        };
+        if state == TaskState::Running && slot.running_since.is_none() {
+            slot.running_since = Some(now);
+        }
+        slot.state = Some(state);
+        if (ended || !bound_here) && slot.stop.is_none() {
+            slot.stop = Some(0.0);
+            m.direct_wanted = true;
+        }
+    }
+
+    /// Looks at what should be on a machine and isn't in its newer report.
+    fn on_absent(
+        &mut self,
+        ix: MachineIx,
+        seen: &HashSet<SlotKey>,
+        source: Source,
+        fenced: bool,
+        now: Time,
+    ) {
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        let mut off = Vec::new();
+        for (key, slot) in m.slots.iter_mut().filter(|(k, _)| !seen.contains(k)) {
+            if slot.over {
+                off.push(*key);
+            } else if slot.inherited {
+                // A former leader's launch may still be under way until the worker has seen
+                // our token.
+                if fenced {
+                    off.push(*key);
+                }
+            } else if slot.state.is_some() {
+                off.push(*key);
+            } else if slot.sent {
+                // Only the worker's next own report proves that the answer with the launch was
+                // dropped: it is made after that answer was carried out or given up.
+                if source == Source::Checkin {
+                    slot.sent = false;
+                    if slot.stop.is_some() {
+                        off.push(*key);
+                    }
+                }
+            } else if slot.stop.is_some() {
+                off.push(*key);
+            }
+        }
+        for key in off {
+            self.off(ix, key, now);
+        }
+    }
+
+    /// A task is surely off a machine.
+    pub(crate) fn off(&mut self, ix: MachineIx, key: SlotKey, now: Time) {
+        let Some(slot) = self
+            .fleet
+            .machines
+            .get_mut(&ix)
+            .and_then(|m| m.drop_slot(&key, now))
+        else {
+            return;
+        };
+        self.slot_dropped(key.job);
+        if slot.over {
+            self.maybe_settle(key.job);
+            return;
+        }
+        self.use_team(key.job, -1.0);
+        let bound_here = matches!(self.jobs[&key.job].task(key.task),
+            Task::Bound { machine, attempt, .. } if machine == ix && attempt == key.attempt);
+        if bound_here {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.unbind(key.task);
+            }
+            self.wake_job(key.job);
+            self.on_unbound(key.job, now);
+        }
+        self.changed = true;
+        self.maybe_settle(key.job);
+    }
+
+    /// Adds the commands a worker is to have now.
+    fn write_commands(&mut self, ix: MachineIx, source: Source, commands: &mut Vec<Command>) {
+        let fits = |commands: &Vec<Command>| commands.len() < COMMANDS_MAX;
+        let token = self.token;
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        m.direct_wanted = false;
+        let settled = m.token >= token && !m.leaving;
+        let mut images = Vec::new();
+        for (key, slot) in &mut m.slots {
+            if !fits(commands) {
+                break;
+            }
+            if slot.over {
+                continue;
+            }
+            let job = &self.jobs[&key.job];
+            if let Some(grace_s) = slot.stop {
+                // A task that saves is left to it, unless it is to go at once.
+                let saving = slot.state == Some(TaskState::Saving);
+                if slot.state.is_some() && !(saving && grace_s > 0.0) {
+                    commands.push(Command::Stop {
+                        task: job_task(&job.id, key.task),
+                        attempt: key.attempt,
+                        grace_s,
+                    });
+                }
+            } else if source == Source::Checkin
+                && settled
+                && slot.state.is_none()
+                && !slot.inherited
+                && !slot.sent
+                && job.ended.is_none()
+                && job.bind_is_stored(key.task, slot.ver)
+            {
+                slot.sent = true;
+                images.push(job.spec.clone());
+                commands.push(Command::Start {
+                    task: job_task(&job.id, key.task),
+                    attempt: key.attempt,
+                });
+            }
+        }
+        for spec in images {
+            m.remember_image(&spec.image);
+        }
+    }
+
+    /// A worker that some controller saw lately is to be called on: that fences off a former
+    /// leader there, and its report comes back at once.
+    pub fn call_on(&mut self, name: &str, zone: &str, addr: &str, session: u64, now: Time) {
+        let ix = self.fleet.enter(name, zone, now);
+        if let Some(m) = self.fleet.machines.get_mut(&ix) {
+            m.addr = m.addr.or_else(|| addr.parse().ok());
+            if m.heard.is_none() {
+                m.session = m.session.max(session);
+                m.direct_wanted = true;
+            }
+        }
+    }
+
+    /// Direct messages to send now, `most` at the most: address, session, commands.
+    pub fn directs(
+        &mut self,
+        now: Time,
+        gap_s: f64,
+        most: usize,
+    ) -> Vec<(SocketAddr, u64, Vec<Command>)> {
+        let due: Vec<(MachineIx, SocketAddr, u64)> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| m.direct_wanted && !m.leaving && now - m.direct_tried > gap_s)
+            .filter_map(|(ix, m)| Some((*ix, m.addr?, m.session)))
+            .take(most)
+            .collect();
+        let mut messages = Vec::new();
+        for (ix, addr, session) in due {
+            let mut commands = Vec::new();
+            self.write_commands(ix, Source::Direct, &mut commands);
+            if let Some(m) = self.fleet.machines.get_mut(&ix) {
+                m.direct_tried = now;
+                // Until it was heard, or has nothing left to stop, it is called on again.
+                m.direct_wanted = !m.is_up() || m.slots.values().any(|s| s.stop.is_some());
+            }
+            messages.push((addr, session, commands));
+        }
+        messages
+    }
+
+    /// Lets what can save do so before the cloud takes the machine.
+    fn heed_notice(&mut self, ix: MachineIx, now: Time) {
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        let Some(taken_at) = m.notice else {
+            return;
+        };
+        let mut gangs = Vec::new();
+        for (key, slot) in &mut m.slots {
+            let job = &self.jobs[&key.job];
+            if slot.over || slot.stop.is_some() || job.spec.checkpoint_s <= 0.0 {
+                continue;
+            }
+            // The notice may run out at half its time; saving needs its own.
+            if taken_at - now < job.spec.save_s {
+                continue;
+            }
+            if job.is_gang() {
+                gangs.push(key.job);
+            } else {
+                slot.stop = Some(job.spec.save_s);
+                m.direct_wanted = true;
+            }
+        }
+        for job in gangs {
+            let grace = self.jobs[&job].spec.save_s;
+            self.stop_job(job, grace, now);
+        }
+    }
+
+    /// Tasks on machines whose worker has been silent for longer than its lease are off.
+    pub fn expire(&mut self, now: Time) {
+        let mut off = Vec::new();
+        for (ix, m) in &self.fleet.machines {
+            let last = m.answered.unwrap_or(self.began).max(self.began);
+            if now - last > self.off_after_s && !m.slots.is_empty() {
+                off.extend(m.slots.keys().map(|k| (*ix, *k)));
+            }
+        }
+        for (ix, key) in off {
+            self.off(ix, key, now);
+        }
+    }
+
+    /// A machine and all that is on it is gone.
+    pub(crate) fn machine_gone(&mut self, ix: MachineIx, now: Time) {
+        let keys: Vec<SlotKey> = match self.fleet.machines.get(&ix) {
+            Some(m) => m.slots.keys().copied().collect(),
+            None => return,
+        };
+        for key in keys {
+            self.off(ix, key, now);
+        }
+        self.fleet.remove(ix);
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,26 @@
+//! capervale, a cluster scheduler: controllers take users' jobs, rent machines, command workers
+//! and keep all state in a state service.
+//!
+//! The core ([`lead::Lead`] with [`fleet`], [`scheduler`], [`autoscale`] and [`pricing`], and
+//! [`view::View`]) is made of state machines without input or output; the routines of [`node`]
+//! do that around them.
+
+pub mod api;
+pub mod autoscale;
+pub mod book;
+pub mod cluster;
+pub mod config;
+pub mod election;
+pub mod fleet;
+pub mod http;
+pub mod lead;
+pub mod node;
+pub mod pricing;
+pub mod rt;
+pub mod scheduler;
+pub mod store;
+pub mod view;
+pub mod wire;
+
+#[cfg(test)]
+mod testing;
--- /dev/null
+++ b/src/pricing.rs
@@ -0,0 +1,196 @@
+//! The placement rule PD-VMP, alone: no input or output, no knowledge of jobs.
+//!
+//! A machine's dual price rises with its load; a task goes where D/Q × price is least.
+
+/// What a machine has, or a task takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Amount {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Rounding errors of sums of decimal amounts.
+const EPSILON: f64 = 1e-6;
+
+impl Amount {
+    /// Sum.
+    pub fn plus(self, other: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus + other.cpus,
+            gpus: self.gpus + other.gpus,
+            memory_gb: self.memory_gb + other.memory_gb,
+        }
+    }
+
+    /// Difference.
+    pub fn minus(self, other: Amount) -> Amount {
+        self.plus(other.times(-1.0))
+    }
+
+    /// Multiple.
+    pub fn times(self, n: f64) -> Amount {
+        Amount {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory_gb: self.memory_gb * n,
+        }
+    }
+
+    /// Whether this fits into `room`.
+    pub fn fits(self, room: Amount) -> bool {
+        self.cpus <= room.cpus + EPSILON
+            && self.gpus <= room.gpus + EPSILON
+            && self.memory_gb <= room.memory_gb + EPSILON
+    }
+
+    /// The largest share that this takes of any resource of `capacity`.
+    pub fn largest_share(self, capacity: Amount) -> f64 {
+        let share = |used: f64, of: f64| match (used > EPSILON, of > 0.0) {
+            (true, true) => used / of,
+            (true, false) => f64::INFINITY,
+            (false, _) => 0.0,
+        };
+        share(self.cpus, capacity.cpus)
+            .max(share(self.gpus, capacity.gpus))
+            .max(share(self.memory_gb, capacity.memory_gb))
+    }
+}
+
+/// The rule's constants.
+#[derive(Debug, Clone, Copy)]
+pub struct Rule {
+    phi: f64,
+    large_share: f64,
+}
+
+/// A machine that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    pub capacity: Amount,
+    pub used: Amount,
+    pub price: f64,
+}
+
+impl Rule {
+    /// φ = J/ρ. D/Q is one over the weight of a task's job, and the lowest class weighs 1: J is 1.
+    pub fn new(rho: f64, large_share: f64) -> Rule {
+        Rule {
+            phi: 1.0 / rho,
+            large_share,
+        }
+    }
+
+    /// The price of a machine from what is known to be on it.
+    pub fn price_of_load(&self, share: f64) -> f64 {
+        (share.exp() - 1.0) / self.phi
+    }
+
+    /// The price after one more placement that raises the largest share by `rise`.
+    pub fn after_placement(&self, price: f64, rise: f64) -> f64 {
+        price * (1.0 + rise) + rise / self.phi
+    }
+
+    /// Chooses for a task of size `demand`, worth `weight`, among the allowed machines: the index
+    /// of the machine and its price afterwards. None if no machine has room at a cost below 1.
+    pub fn choose(
+        &self,
+        demand: Amount,
+        weight: f64,
+        allowed: impl Iterator<Item = (usize, Candidate)>,
+    ) -> Option<(usize, f64)> {
+        let mut best: Option<(f64, usize, f64)> = None;
+        for (at, c) in allowed {
+            if !demand.fits(c.capacity.minus(c.used)) {
+                continue;
+            }
+            let cost = c.price / weight;
+            if cost >= 1.0 {
+                continue;
+            }
+            let share = c.used.largest_share(c.capacity);
+            let rise = c.used.plus(demand).largest_share(c.capacity) - share;
+            // A task over half a machine goes to the fullest it fits, all others to the cheapest.
+            let large = demand.largest_share(c.capacity) > self.large_share;
+            let key = if large { -share - 1.0 } else { cost };
+            if best.is_none_or(|(k, _, _)| key < k) {
+                best = Some((key, at, self.after_placement(c.price, rise)));
+            }
+        }
+        best.map(|(_, at, price)| (at, price))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine(cpus: f64, used: f64, price: f64) -> Candidate {
+        let amount = |cpus| Amount {
+            cpus,
+            gpus: 0.0,
+            memory_gb: cpus * 4.0,
+        };
+        Candidate {
+            capacity: amount(cpus),
+            used: amount(used),
+            price,
+        }
+    }
+
+    fn task(cpus: f64) -> Amount {
+        Amount {
+            cpus,
+            gpus: 0.0,
+            memory_gb: cpus,
+        }
+    }
+
+    /// Worked by hand with ρ = 0.5, so φ = 2, and two machines of 8 and 16 CPUs. A task of 4 CPUs:
+    /// rises 1/2 and 1/4. First both prices are 0 and the first machine is taken: its price
+    /// becomes 0 × 1.5 + 0.5/2 = 0.25. The next goes to the second: 0 × 1.25 + 0.25/2 = 0.125.
+    /// The next again, as 0.125 < 0.25: 0.125 × 1.25 + 0.125 = 0.28125. Then the first:
+    /// 0.25 × 1.5 + 0.25 = 0.625, and it is full.
+    #[test]
+    fn prices_follow_the_worked_example() {
+        let rule = Rule::new(0.5, 0.5);
+        let mut machines = [machine(8.0, 0.0, 0.0), machine(16.0, 0.0, 0.0)];
+        let mut taken = Vec::new();
+        for _ in 0..4 {
+            let all = machines.iter().copied().enumerate();
+            let (at, price) = rule.choose(task(4.0), 1.0, all).unwrap();
+            machines[at].price = price;
+            machines[at].used = machines[at].used.plus(task(4.0));
+            taken.push((at, price));
+        }
+        assert_eq!(taken, [(0, 0.25), (1, 0.125), (1, 0.28125), (0, 0.625)]);
+        assert!((rule.price_of_load(0.5) - (0.5f64.exp() - 1.0) / 2.0).abs() < 1e-12);
+    }
+
+    #[test]
+    fn no_task_is_refused_while_a_machine_has_room() {
+        let rule = Rule::new(0.579, 0.5);
+        let full = rule.price_of_load(1.0);
+        assert!(full < 1.0, "{full}");
+        let nearly = machine(100.0, 99.0, rule.price_of_load(0.99));
+        assert!(
+            rule.choose(task(1.0), 1.0, [(0, nearly)].into_iter())
+                .is_some()
+        );
+        let over = Rule::new(0.6, 0.5);
+        assert!(over.price_of_load(1.0) > 1.0);
+    }
+
+    #[test]
+    fn large_tasks_take_the_fullest_machine_they_fit() {
+        let rule = Rule::new(0.5, 0.5);
+        let machines = [
+            machine(16.0, 0.0, 0.0),
+            machine(16.0, 2.0, 0.1),
+            machine(16.0, 8.0, 0.3),
+        ];
+        let choose = |cpus| rule.choose(task(cpus), 1.0, machines.iter().copied().enumerate());
+        assert_eq!(choose(9.0).unwrap().0, 1);
+        assert_eq!(choose(2.0).unwrap().0, 0);
+    }
+}
--- /dev/null
+++ b/src/rt.rs
@@ -0,0 +1,496 @@
+//! Runtime around the calloop event loop: routines, timers, cancellation, sockets.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use calloop::futures::{Scheduler, executor};
+use calloop::io::Async;
+use calloop::{EventLoop, LoopHandle};
+use futures_util::future::{Either, select};
+
+/// Seconds on the steady clock, counted from the start of the process.
+pub type Time = f64;
+
+/// Source of the present moment; tests use one of their own.
+pub trait Clock {
+    /// The present moment.
+    fn now(&self) -> Time;
+}
+
+/// The machine's steady clock.
+pub struct SteadyClock(Instant);
+
+impl SteadyClock {
+    /// A clock that begins now.
+    pub fn start() -> Self {
+        SteadyClock(Instant::now())
+    }
+}
+
+impl Clock for SteadyClock {
+    fn now(&self) -> Time {
+        self.0.elapsed().as_secs_f64()
+    }
+}
+
+#[derive(Default)]
+struct Timers {
+    next_id: u64,
+    waiting: BTreeMap<(u64, u64), Waker>,
+}
+
+struct Inner {
+    handle: LoopHandle<'static, ()>,
+    scheduler: Scheduler<()>,
+    clock: SteadyClock,
+    timers: RefCell<Timers>,
+}
+
+/// Handle to the runtime, cheap to clone.
+#[derive(Clone)]
+pub struct Rt(Rc<Inner>);
+
+/// Given when a time limit passed first.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+#[error("time limit passed")]
+pub struct Elapsed;
+
+fn micros(at: Time) -> u64 {
+    (at.max(0.0) * 1e6) as u64
+}
+
+impl Rt {
+    /// Makes the loop, hands its handle to `setup`, which starts the first routines, and serves until
+    /// an error of the loop itself.
+    pub fn run<E: From<calloop::Error>>(
+        setup: impl FnOnce(&Rt) -> Result<Scope, E>,
+    ) -> Result<(), E> {
+        let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
+        let (source, scheduler) = executor::<()>()?;
+        event_loop
+            .handle()
+            .insert_source(source, |(), _, _| {})
+            .map_err(|e| calloop::Error::from(io::Error::other(e.to_string())))?;
+        let rt = Rt(Rc::new(Inner {
+            handle: event_loop.handle(),
+            scheduler,
+            clock: SteadyClock::start(),
+            timers: RefCell::default(),
+        }));
+        let _root = setup(&rt)?;
+        loop {
+            let wait = rt.until_next_timer();
+            event_loop.dispatch(wait, &mut ())?;
+            rt.fire_timers();
+        }
+    }
+
+    fn until_next_timer(&self) -> Option<Duration> {
+        let timers = self.0.timers.borrow();
+        let (first, _) = timers.waiting.first_key_value()?.0;
+        let now = micros(self.now());
+        // A timer is never early: waits are rounded up to the next millisecond.
+        Some(Duration::from_millis(
+            first.saturating_sub(now).div_ceil(1000),
+        ))
+    }
+
+    fn fire_timers(&self) {
+        let now = micros(self.now());
+        loop {
+            let mut timers = self.0.timers.borrow_mut();
+            match timers.waiting.first_entry() {
+                Some(entry) if entry.key().0 <= now => {
+                    let waker = entry.remove();
+                    drop(timers);
+                    waker.wake();
+                }
+                _ => return,
+            }
+        }
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Time {
+        self.0.clock.now()
+    }
+
+    /// Waits for `seconds`.
+    pub fn sleep(&self, seconds: f64) -> Sleep {
+        Sleep {
+            rt: self.clone(),
+            at: self.now() + seconds.max(0.0),
+            key: None,
+        }
+    }
+
+    /// Gives `work` at most `seconds`.
+    pub async fn timeout<T>(
+        &self,
+        seconds: f64,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Elapsed> {
+        let work = std::pin::pin!(work);
+        match select(work, self.sleep(seconds)).await {
+            Either::Left((value, _)) => Ok(value),
+            Either::Right(_) => Err(Elapsed),
+        }
+    }
+
+    fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        // The scheduler outlives every routine: it ends with the loop that polls them.
+        if self.0.scheduler.schedule(work).is_err() {
+            tracing::error!("the loop has ended");
+        }
+    }
+
+    fn adapt<F: std::os::fd::AsFd>(&self, socket: F) -> io::Result<Async<'static, F>> {
+        self.0
+            .handle
+            .adapt_io(socket)
+            .map_err(|e| io::Error::other(e.to_string()))
+    }
+
+    /// Opens a connection.
+    pub async fn connect(&self, to: SocketAddr) -> io::Result<Stream> {
+        use socket2::{Domain, Protocol, Socket, Type};
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(e) if e.raw_os_error() == Some(EINPROGRESS) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        let mut io = self.adapt(TcpStream::from(socket))?;
+        io.writable().await;
+        if let Some(e) = io.get_mut().take_error()? {
+            return Err(e);
+        }
+        // A socket that is writable without being connected was refused.
+        io.get_mut().peer_addr()?;
+        io.get_mut().set_nodelay(true)?;
+        Ok(Stream(io))
+    }
+
+    /// Listens at an address.
+    pub fn listen(&self, at: SocketAddr) -> io::Result<Listener> {
+        Ok(Listener {
+            io: self.adapt(TcpListener::bind(at)?)?,
+            rt: self.clone(),
+        })
+    }
+}
+
+const EINPROGRESS: i32 = 115;
+
+/// A wait; dropping it removes the timer.
+pub struct Sleep {
+    rt: Rt,
+    at: Time,
+    key: Option<(u64, u64)>,
+}
+
+impl Future for Sleep {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.rt.now() >= self.at {
+            return Poll::Ready(());
+        }
+        let rt = self.rt.clone();
+        let mut timers = rt.0.timers.borrow_mut();
+        let key = match self.key {
+            Some(key) => key,
+            None => {
+                timers.next_id += 1;
+                // Rounded up, so that the wake never comes before the moment itself.
+                let key = (micros(self.at) + 1, timers.next_id);
+                self.key = Some(key);
+                key
+            }
+        };
+        timers.waiting.insert(key, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.rt.0.timers.borrow_mut().waiting.remove(&key);
+        }
+    }
+}
+
+/// A connection.
+pub struct Stream(Async<'static, TcpStream>);
+
+impl Stream {
+    /// Reads some bytes; 0 at the end.
+    pub async fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.0.get_mut().read(buf) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.0.readable().await,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                done => return done,
+            }
+        }
+    }
+
+    /// Writes all bytes.
+    pub async fn write_all(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            match self.0.get_mut().write(bytes) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => bytes = &bytes[n..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.0.writable().await,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a connection at rest is still open with nothing unexpected to read.
+    pub fn is_quiet(&mut self) -> bool {
+        let mut byte = [0];
+        matches!(self.0.get_mut().read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// A listening socket.
+pub struct Listener {
+    io: Async<'static, TcpListener>,
+    rt: Rt,
+}
+
+impl Listener {
+    /// The next connection.
+    pub async fn accept(&mut self) -> io::Result<Stream> {
+        loop {
+            match self.io.get_mut().accept() {
+                Ok((stream, _)) => {
+                    let mut io = self.rt.adapt(stream)?;
+                    io.get_mut().set_nodelay(true)?;
+                    return Ok(Stream(io));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.io.readable().await,
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
+
+/// A flag that routines can wait for.
+#[derive(Default)]
+pub struct Signal {
+    set: Cell<bool>,
+    next_id: Cell<u64>,
+    wakers: RefCell<BTreeMap<u64, Waker>>,
+}
+
+impl Signal {
+    /// Sets the flag and wakes all that wait.
+    pub fn set(&self) {
+        self.set.set(true);
+        for waker in self.wakers.take().into_values() {
+            waker.wake();
+        }
+    }
+
+    /// Clears the flag.
+    pub fn clear(&self) {
+        self.set.set(false);
+    }
+
+    /// Waits until the flag is set, and clears it.
+    pub async fn take(&self) {
+        self.raised().await;
+        self.clear();
+    }
+
+    /// Waits until the flag is set.
+    pub fn raised(&self) -> Raised<'_> {
+        self.next_id.set(self.next_id.get() + 1);
+        Raised {
+            signal: self,
+            id: self.next_id.get(),
+        }
+    }
+}
+
+/// A wait for a signal.
+pub struct Raised<'a> {
+    signal: &'a Signal,
+    id: u64,
+}
+
+impl Future for Raised<'_> {
+    type Output = ();
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.signal.set.get() {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.signal.wakers.borrow_mut();
+        wakers.insert(self.id, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Raised<'_> {
+    fn drop(&mut self) {
+        self.signal.wakers.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Wakes all that wait at the moment it beats.
+#[derive(Default)]
+pub struct Pulse {
+    beats: Cell<u64>,
+    next_id: Cell<u64>,
+    wakers: RefCell<BTreeMap<u64, Waker>>,
+}
+
+impl Pulse {
+    /// Wakes all that wait.
+    pub fn beat(&self) {
+        self.beats.set(self.beats.get() + 1);
+        for waker in self.wakers.take().into_values() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for the next beat after this call.
+    pub fn next(&self) -> Beat<'_> {
+        self.next_id.set(self.next_id.get() + 1);
+        Beat {
+            pulse: self,
+            seen: self.beats.get(),
+            id: self.next_id.get(),
+        }
+    }
+}
+
+/// A wait for a beat.
+pub struct Beat<'a> {
+    pulse: &'a Pulse,
+    seen: u64,
+    id: u64,
+}
+
+impl Future for Beat<'_> {
+    type Output = ();
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.pulse.beats.get() != self.seen {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.pulse.wakers.borrow_mut();
+        wakers.insert(self.id, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for Beat<'_> {
+    fn drop(&mut self) {
+        self.pulse.wakers.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Lets so much through per second, with a burst.
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    left: Cell<f64>,
+    at: Cell<Time>,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: f64, burst: f64) -> Self {
+        Bucket {
+            rate,
+            burst: burst.max(1.0),
+            left: Cell::new(burst.max(1.0)),
+            at: Cell::new(0.0),
+        }
+    }
+
+    /// Takes `n`, now or on credit; returns how long to wait before using them.
+    pub fn take(&self, n: f64, now: Time) -> f64 {
+        let left = (self.left.get() + (now - self.at.get()).max(0.0) * self.rate).min(self.burst);
+        self.at.set(now);
+        self.left.set(left - n);
+        ((n - left) / self.rate).max(0.0)
+    }
+
+    /// Gives back what was taken but not used.
+    pub fn give_back(&self, n: f64) {
+        self.left.set(self.left.get() + n);
+    }
+}
+
+/// Owner of routines. Dropping it cancels them; `close` also waits until they are gone.
+pub struct Scope {
+    rt: Rt,
+    shared: Rc<ScopeState>,
+}
+
+#[derive(Default)]
+struct ScopeState {
+    cancel: Signal,
+    empty: Signal,
+    live: Cell<usize>,
+}
+
+impl Scope {
+    /// An owner without routines.
+    pub fn new(rt: &Rt) -> Self {
+        Scope {
+            rt: rt.clone(),
+            shared: Rc::default(),
+        }
+    }
+
+    /// Starts a routine that ends with this scope at the latest.
+    pub fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        let shared = self.shared.clone();
+        shared.live.set(shared.live.get() + 1);
+        self.rt.spawn(async move {
+            {
+                let work = std::pin::pin!(work);
+                let cancel = std::pin::pin!(shared.cancel.raised());
+                select(work, cancel).await;
+            }
+            shared.live.set(shared.live.get() - 1);
+            if shared.live.get() == 0 {
+                shared.empty.set();
+            }
+        });
+    }
+
+    /// How many routines are alive.
+    pub fn live(&self) -> usize {
+        self.shared.live.get()
+    }
+
+    /// Cancels all routines and waits until the last has gone.
+    pub async fn close(self) {
+        self.shared.cancel.set();
+        while self.live() > 0 {
+            self.shared.empty.take().await;
+        }
+    }
+}
+
+impl Drop for Scope {
+    fn drop(&mut self) {
+        self.shared.cancel.set();
+    }
+}
--- /dev/null
+++ b/src/scheduler.rs
@@ -0,0 +1,290 @@
+//! In which order jobs are placed, and on which machines each task is allowed. Which of those it
+//! gets is for the pricing rule to say.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::book::{Job, JobIx, MachineIx, rank};
+use crate::fleet::{Machine, Role};
+use crate::lead::Lead;
+use crate::pricing::{Amount, Candidate};
+use crate::rt::Time;
+use crate::wire::Submission;
+
+/// Report intervals after which a silent machine gets nothing new.
+const QUIET_REPORTS: f64 = 2.0;
+
+/// A machine as one placement pass sees it.
+struct Place {
+    ix: MachineIx,
+    zone: Rc<str>,
+    spot: bool,
+    type_ix: usize,
+    role: Role,
+    empty: bool,
+    now: Candidate,
+}
+
+impl Lead {
+    /// Places what can be placed. What it decides is launched once it is stored.
+    pub fn plan(&mut self, now: Time) {
+        if !std::mem::take(&mut self.changed) || self.active.is_empty() {
+            return;
+        }
+        let mut places: Vec<Place> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| self.is_open(m, now))
+            .filter_map(|(ix, m)| {
+                Some(Place {
+                    ix: *ix,
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    type_ix: m.type_ix?,
+                    role: m.role,
+                    empty: m.is_empty(),
+                    now: Candidate {
+                        capacity: m.capacity,
+                        used: m.used,
+                        price: m.price,
+                    },
+                })
+            })
+            .collect();
+        if places.is_empty() {
+            return;
+        }
+        for ix in self.order(now) {
+            if self.jobs[&ix].is_gang() {
+                self.place_gang(ix, &mut places, now);
+            } else {
+                self.place_array(ix, &mut places, now);
+            }
+            if self.jobs[&ix].pending() == 0 {
+                self.active.remove(&ix);
+            }
+        }
+        for p in &places {
+            if let Some(m) = self.fleet.machines.get_mut(&p.ix) {
+                m.price = p.now.price;
+            }
+        }
+    }
+
+    /// Whether a machine may be given work: it has shown our token and nothing speaks against it.
+    fn is_open(&self, m: &Machine, now: Time) -> bool {
+        let quiet = self.config.deployment.workers.report_s * QUIET_REPORTS;
+        m.heard.is_some_and(|t| now - t < quiet)
+            && m.token >= self.token
+            && !m.leaving
+            && !m.draining
+            && !m.suspect
+            && m.notice.is_none()
+            && m.cool_until <= now
+    }
+
+    /// The jobs that wait, in the order in which they are placed: by priority, then those within
+    /// their team's guarantee, then by age.
+    fn order(&self, now: Time) -> Vec<JobIx> {
+        let teams = &self.config.deployment.teams;
+        // What each team's earlier unfinished jobs may use of its guarantee.
+        let mut claimed: HashMap<usize, Amount> = HashMap::new();
+        let guaranteed = teams.iter().any(|t| t.cpus > 0.0 || t.gpus > 0.0);
+        let mut within: HashMap<JobIx, bool> = HashMap::new();
+        if guaranteed {
+            let mut unfinished: Vec<&Job> = Vec::new();
+            let mut ixs: Vec<(&JobIx, &Job)> = self
+                .jobs
+                .iter()
+                .filter(|(_, j)| j.ended.is_none())
+                .collect();
+            ixs.sort_by_key(|(_, j)| j.order);
+            unfinished.reserve(ixs.len());
+            for (ix, job) in ixs {
+                let left = f64::from(job.spec.tasks - job.done);
+                let claim = claimed.entry(job.team).or_default();
+                *claim = claim.plus(job.amount().times(left));
+                let team = &teams[job.team];
+                let fits = |claim: f64, share: f64, own: f64| own <= 0.0 || claim <= share + 1e-6;
+                within.insert(
+                    *ix,
+                    (team.cpus > 0.0 || team.gpus > 0.0)
+                        && fits(claim.cpus, team.cpus, job.spec.cpus)
+                        && fits(claim.gpus, team.gpus, job.spec.gpus),
+                );
+            }
+        }
+        let mut order: Vec<(usize, bool, u64, JobIx)> = self
+            .active
+            .iter()
+            .filter_map(|ix| {
+                let job = self.jobs.get(ix)?;
+                (job.not_before <= now).then(|| {
+                    (
+                        3 - rank(job.spec.priority),
+                        !within.get(ix).copied().unwrap_or(false),
+                        job.order,
+                        *ix,
+                    )
+                })
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, _, ix)| ix).collect()
+    }
+
+    fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) {
+        let job = &self.jobs[&ix];
+        let spec = job.spec.clone();
+        let amount = job.amount();
+        let team = job.team;
+        let weight = self.config.tunables.weights[rank(spec.priority)];
+        let zones = self.zones_taken(ix);
+        let mut zones = Zones::new(&spec, zones);
+        let attempt = self.jobs[&ix].fresh_attempt();
+        loop {
+            if !self.team_allows(team, amount) {
+                return;
+            }
+            let allowed = places
+                .iter()
+                .enumerate()
+                .filter(|(_, p)| self.is_allowed(&spec, amount, p) && zones.allow(&p.zone))
+                .map(|(at, p)| (at, p.now));
+            let Some((at, price)) = self.rule.choose(amount, weight, allowed) else {
+                return;
+            };
+            let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
+                return;
+            };
+            let place = &mut places[at];
+            place.now.price = price;
+            place.now.used = place.now.used.plus(amount);
+            place.empty = false;
+            zones.add(&place.zone);
+            self.bind(ix, task, place.ix, attempt, now);
+        }
+    }
+
+    /// All tasks of a gang are placed, or none.
+    fn place_gang(&mut self, ix: JobIx, places: &mut [Place], now: Time) {
+        let job = &self.jobs[&ix];
+        // Tasks of the former attempt keep their machines and zones until they are off.
+        if job.bound > 0 || job.slots > 0 {
+            return;
+        }
+        let spec = job.spec.clone();
+        let amount = job.amount();
+        let weight = self.config.tunables.weights[rank(spec.priority)];
+        if !self.team_allows(job.team, amount.times(f64::from(spec.tasks))) {
+            return;
+        }
+        let mut only: Vec<Option<Rc<str>>> = vec![None];
+        if spec.one_zone {
+            let mut zones: Vec<Rc<str>> = places.iter().map(|p| p.zone.clone()).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            only = zones.into_iter().map(Some).collect();
+        }
+        for zone in only {
+            let mut zones = Zones::new(&spec, HashMap::new());
+            let mut trial: Vec<Candidate> = places.iter().map(|p| p.now).collect();
+            let mut chosen = Vec::new();
+            for _ in 0..spec.tasks {
+                let allowed = places
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, p)| {
+                        zone.as_ref().is_none_or(|z| *z == p.zone)
+                            && self.is_allowed(&spec, amount, p)
+                            && zones.allow(&p.zone)
+                    })
+                    .map(|(at, _)| (at, trial[at]));
+                let Some((at, price)) = self.rule.choose(amount, weight, allowed) else {
+                    break;
+                };
+                trial[at].price = price;
+                trial[at].used = trial[at].used.plus(amount);
+                zones.add(&places[at].zone);
+                chosen.push(at);
+            }
+            if chosen.len() < spec.tasks as usize {
+                continue;
+            }
+            let attempt = self.jobs[&ix].fresh_attempt();
+            for at in chosen {
+                let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
+                    return;
+                };
+                places[at].now = trial[at];
+                places[at].empty = false;
+                self.bind(ix, task, places[at].ix, attempt, now);
+            }
+            return;
+        }
+    }
+
+    /// Whether a task may go to a machine at all; room and price come after.
+    fn is_allowed(&self, spec: &Submission, amount: Amount, p: &Place) -> bool {
+        let by_job = (spec.spot || !p.spot)
+            && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
+            && spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&self.types[p.type_ix].name));
+        // Machines kept for large work are not sliced up by small tasks; large work may also
+        // take a shared machine that has room for it.
+        let large = amount.largest_share(p.now.capacity) > self.config.tunables.large_share;
+        by_job && (large || p.role == Role::Shared)
+    }
+
+    /// In which zones tasks of a job are or may be, those of former attempts included.
+    fn zones_taken(&self, ix: JobIx) -> HashMap<Rc<str>, u32> {
+        let mut zones = HashMap::new();
+        let spec = &self.jobs[&ix].spec;
+        if !spec.one_zone && !spec.spread {
+            return zones;
+        }
+        for m in self.fleet.machines.values() {
+            let n = m
+                .slots
+                .iter()
+                .filter(|(key, slot)| key.job == ix && !slot.over)
+                .count();
+            if n > 0 {
+                *zones.entry(m.zone.clone()).or_insert(0) += n as u32;
+            }
+        }
+        zones
+    }
+}
+
+/// Which zones a job's further tasks may go to.
+struct Zones {
+    one_zone: bool,
+    most: Option<u32>,
+    taken: HashMap<Rc<str>, u32>,
+}
+
+impl Zones {
+    fn new(spec: &Submission, taken: HashMap<Rc<str>, u32>) -> Self {
+        Zones {
+            one_zone: spec.one_zone,
+            most: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            taken,
+        }
+    }
+
+    fn allow(&self, zone: &Rc<str>) -> bool {
+        let elsewhere = self.taken.keys().any(|z| z != zone);
+        let here = self.taken.get(zone).copied().unwrap_or(0);
+        !(self.one_zone && elsewhere) && self.most.is_none_or(|most| here < most)
+    }
+
+    fn add(&mut self, zone: &Rc<str>) {
+        if self.one_zone || self.most.is_some() {
+            *self.taken.entry(zone.clone()).or_insert(0) += 1;
+        }
+    }
+}
