--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::book::{JobIx, MachineIx, amount};
-use crate::config::Config;
+use crate::expect::class_name;
 use crate::fleet::Role;
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
@@ -19,15 +19,12 @@
     amount: Amount,
     /// Tasks of a job, smoothed.
     job_tasks: f64,
-    /// Unfinished tasks at a time, smoothed.
-    level: f64,
     /// Run time of a task, smoothed; the owners' estimate until one was seen.
     run_s: f64,
     runs_seen: bool,
     /// Unfinished tasks now.
     pending: f64,
     bound: f64,
-    last_seen: Time,
 }
 
 /// Where machines come from.
@@ -88,8 +85,10 @@
 const TYPES_LEASES: f64 = 3.0;
 /// Sizing interval in report intervals.
 const SIZING_REPORTS: f64 = 0.3;
-/// Time over which levels are smoothed, in boot times.
-const LEVEL_BOOTS: f64 = 4.0;
+/// Kinds that cost at most this much more than a class's cheapest count as cheap.
+const CHEAP: f64 = 1.6;
+/// Time for a backlog of which nothing is expected, in boot times.
+const BACKLOG_BOOTS: f64 = 2.0;
 /// Pauses of a pool that refused, in boot times: the first and the longest.
 const REFUSED_BOOTS: f64 = 0.3;
 const REFUSED_BOOTS_MAX: f64 = 1.5;
@@ -101,13 +100,13 @@
 const CHARGED_S: f64 = 60.0;
 /// Waits shorter than this many boot times can only be kept with machines that are up already.
 const TIGHT_BOOTS: f64 = 1.5;
-/// A backlog of array tasks is to be worked off within this part of the time they may take.
-const BACKLOG_SHARE: f64 = 0.4;
+/// A backlog is to be worked off within this part of the time that its jobs may take.
+const BACKLOG_SHARE: f64 = 0.5;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
 
 impl CloudBook {
-    pub(crate) fn new(_config: &Config, now: Time) -> Self {
+    pub(crate) fn new(now: Time) -> Self {
         CloudBook {
             pools: BTreeMap::new(),
             next_request: 0,
@@ -123,6 +122,14 @@
     }
 }
 
+/// For how many tasks of a class there should be machines: of the cheapest kinds as many as help
+/// at all, of dearer ones only what keeps the work in time.
+#[derive(Debug, Clone, Copy)]
+struct Want {
+    full: f64,
+    lean: f64,
+}
+
 /// A machine in the eyes of the sizing: there, coming, or to be rented.
 struct Unit {
     ix: Option<MachineIx>,
@@ -138,30 +145,21 @@
 }
 
 impl Lead {
-    fn class_name(spec: &Submission) -> String {
-        format!(
-            "{}|{:?}|{:?}|{}",
-            spec.class, spec.types, spec.zone, spec.spot
-        )
-    }
-
     /// A job came: its class is seen.
-    pub(crate) fn note_arrival(&mut self, ix: JobIx, now: Time) {
+    pub(crate) fn note_arrival(&mut self, ix: JobIx) {
         let job = &self.jobs[&ix];
         let spec = job.spec.clone();
         let tasks = f64::from(spec.tasks);
         let class = self
             .classes
-            .entry(Self::class_name(&spec))
+            .entry(class_name(&spec))
             .or_insert_with(|| Class {
                 amount: amount(&spec),
                 job_tasks: tasks,
-                level: 0.0,
                 run_s: spec.estimate_s,
                 runs_seen: false,
                 pending: 0.0,
                 bound: 0.0,
-                last_seen: now,
                 spec: spec.clone(),
             });
         let mix = |old: f64, new: f64| old * 0.8 + new * 0.2;
@@ -172,12 +170,11 @@
             memory_gb: mix(class.amount.memory_gb, a.memory_gb),
         };
         class.job_tasks = mix(class.job_tasks, tasks);
-        class.last_seen = now;
     }
 
     /// A task ran for so long.
     pub(crate) fn note_run(&mut self, ix: JobIx, ran: f64) {
-        let name = Self::class_name(&self.jobs[&ix].spec);
+        let name = class_name(&self.jobs[&ix].spec);
         if let Some(class) = self.classes.get_mut(&name) {
             class.run_s = if class.runs_seen {
                 class.run_s * 0.95 + ran * 0.05
@@ -194,9 +191,8 @@
         self.find_lost(now);
         let interval = self.config.deployment.workers.report_s * SIZING_REPORTS;
         if now - self.cloud.sized_at >= interval {
-            let since = (now - self.cloud.sized_at).min(interval * 4.0);
             self.cloud.sized_at = now;
-            self.size(since, now);
+            self.size(now);
         }
     }
 
@@ -282,29 +278,22 @@
     }
 
     /// Decides which machines are needed, rents what lacks and lets go of what is too many.
-    fn size(&mut self, since: f64, now: Time) {
+    fn size(&mut self, now: Time) {
         for class in self.classes.values_mut() {
             class.pending = 0.0;
             class.bound = 0.0;
         }
-        let report_s = self.config.deployment.workers.report_s;
         for job in self.jobs.values().filter(|j| j.ended.is_none()) {
             let waiting = if job.not_before > now {
                 0
             } else {
                 job.pending()
             };
-            if let Some(class) = self.classes.get_mut(&Self::class_name(&job.spec)) {
+            if let Some(class) = self.classes.get_mut(&class_name(&job.spec)) {
                 class.pending += f64::from(waiting);
                 class.bound += f64::from(job.bound);
             }
         }
-        let boot_s = self.types.iter().map(|t| t.boot_s).fold(report_s, f64::max);
-        let mix = (-since / (boot_s * LEVEL_BOOTS)).exp();
-        for class in self.classes.values_mut() {
-            let tasks = class.pending + class.bound;
-            class.level = class.level * mix + tasks * (1.0 - mix);
-        }
         let mut units = self.units(now);
         let mut rents: BTreeMap<(PoolKey, Role), u32> = BTreeMap::new();
         let mut classes: Vec<Class> = self.classes.values().cloned().collect();
@@ -315,7 +304,7 @@
             (!large, kinds, c.spec.class.clone())
         });
         for class in &classes {
-            let want = self.want(class);
+            let want = self.want(class, now);
             self.cover(class, want, &mut units, &mut rents, now);
         }
         for unit in &units {
@@ -334,9 +323,6 @@
                 if m.is_empty() || role == Role::Shared {
                     m.role = role;
                 }
-                if m.is_empty() {
-                    m.idle_since = Some(now);
-                }
             }
         }
         self.let_go(&units, now);
@@ -387,29 +373,46 @@
     }
 
     /// For how many tasks of a class at once there should be machines.
-    fn want(&self, class: &Class) -> f64 {
+    fn want(&self, class: &Class, now: Time) -> Want {
+        let spec = &class.spec;
         let boot_s = self
-            .kinds(&class.spec)
+            .kinds(spec)
             .iter()
             .map(|(t, _)| self.types[*t].boot_s)
             .fold(f64::INFINITY, f64::min);
-        let waiting = if self.is_large_class(class) {
-            class.pending
-        } else {
-            let finish = self
-                .tightest_finish(&class.spec)
-                .unwrap_or(boot_s * LEVEL_BOOTS);
-            let horizon = (finish * BACKLOG_SHARE).max(class.run_s).max(1.0);
-            class.pending * (class.run_s / horizon).min(1.0)
-        };
-        let now_needed = class.bound + waiting;
-        let spare = if self.tightest_wait(&class.spec) < boot_s * TIGHT_BOOTS {
-            let burst = (class.level * class.job_tasks).sqrt();
-            class.level + self.config.tunables.spare_ratio * burst
+        let wait = self.tightest_wait(spec);
+        let finish = self.tightest_finish(spec);
+        let run_s = class.run_s.max(1.0);
+        let needed = class.bound + class.pending;
+        // What waits and half of what runs must be worked off in good time.
+        let within = wait.min(finish.unwrap_or(f64::INFINITY));
+        let horizon = if within.is_finite() {
+            within * BACKLOG_SHARE
         } else {
-            0.0
+            boot_s * BACKLOG_BOOTS
         };
-        now_needed.max(spare.ceil())
+        let work = (class.pending + class.bound * 0.5) * run_s;
+        let mut lean = (work / horizon).min(needed);
+        let mut full = needed;
+        if wait < boot_s * TIGHT_BOOTS {
+            // Nothing rented now would be up in time: machines must be there before the work.
+            let ratio = self.config.tunables.spare_ratio;
+            let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks;
+            let spare = if run_s >= boot_s {
+                needed + ratio * rate * boot_s
+            } else {
+                let level = rate * run_s;
+                needed.max(level + ratio * (level * class.job_tasks).sqrt())
+            };
+            full = spare;
+            if run_s >= boot_s {
+                lean = spare;
+            }
+        }
+        Want {
+            full: full.ceil(),
+            lean: lean.ceil(),
+        }
     }
 
     /// The machines that are there or coming, cheapest and fullest first.
@@ -439,9 +442,8 @@
             })
             .collect();
         units.sort_by(|a, b| {
-            (b.used > 0.0)
-                .cmp(&(a.used > 0.0))
-                .then(a.price.total_cmp(&b.price))
+            a.price
+                .total_cmp(&b.price)
                 .then(b.up.cmp(&a.up))
                 .then(b.used.total_cmp(&a.used))
         });
@@ -454,11 +456,11 @@
         price / t.cpus.max(1.0)
     }
 
-    /// Finds machines for `want` tasks of a class: those there are, then rented ones.
+    /// Finds machines for the tasks of a class: those there are, then rented ones.
     fn cover(
         &self,
         class: &Class,
-        want: f64,
+        want: Want,
         units: &mut Vec<Unit>,
         rents: &mut BTreeMap<(PoolKey, Role), u32>,
         now: Time,
@@ -467,9 +469,19 @@
         let mut left = want;
         let kinds = self.kinds(spec);
         let large_class = self.is_large_class(class);
+        let cheap = kinds
+            .iter()
+            .map(|(t, spot)| self.unit_price(*t, *spot))
+            .fold(f64::INFINITY, f64::min)
+            * CHEAP;
         for unit in units.iter_mut() {
-            if left <= 1e-6 {
-                return;
+            let need = if unit.price <= cheap {
+                left.full
+            } else {
+                left.lean
+            };
+            if need <= 1e-6 {
+                continue;
             }
             if !kinds.contains(&(unit.type_ix, unit.spot))
                 || spec.zone.as_ref().is_some_and(|z| **z != *unit.zone)
@@ -488,17 +500,31 @@
             if large && !unit.taken && unit.used > 0.0 && !unit.large {
                 continue;
             }
-            let take = fits.min(left);
+            let take = fits.min(need);
             unit.room = unit.room.minus(class.amount.times(take));
             unit.taken = true;
             unit.large = large_class;
-            left -= take;
+            left.full -= take;
+            left.lean -= take;
         }
-        while left > 1e-6 {
-            let Some((pool, per_machine)) = self.best_pool(class, left, now) else {
+        loop {
+            let (cheap_only, need) = if left.full > 1e-6 && left.full > left.lean {
+                (true, left.full)
+            } else {
+                (false, left.lean)
+            };
+            if need <= 1e-6 {
+                return;
+            }
+            let limit = if cheap_only { cheap } else { f64::INFINITY };
+            let Some((pool, per_machine)) = self.best_pool(class, need, limit, now) else {
+                if cheap_only {
+                    left.full = left.lean;
+                    continue;
+                }
                 return;
             };
-            let machines = (left / per_machine).ceil().min(f64::from(RENT_MAX));
+            let machines = (need / per_machine).ceil().min(f64::from(RENT_MAX));
             let role = if large_class {
                 Role::Large
             } else {
@@ -506,7 +532,7 @@
             };
             *rents.entry((pool.clone(), role)).or_insert(0) += machines as u32;
             for _ in 0..machines as u32 {
-                let take = per_machine.min(left);
+                let take = per_machine.min(need);
                 let capacity = self.capacity_of(pool.type_ix);
                 units.push(Unit {
                     ix: None,
@@ -520,18 +546,19 @@
                     large: large_class,
                     taken: true,
                 });
-                left -= take;
+                left.full -= take;
+                left.lean -= take;
             }
         }
     }
 
     /// Where machines for `left` tasks of a class cost least, among pools that don't refuse now.
-    fn best_pool(&self, class: &Class, left: f64, now: Time) -> Option<(PoolKey, f64)> {
+    fn best_pool(&self, class: &Class, left: f64, limit: f64, now: Time) -> Option<(PoolKey, f64)> {
         let mut best: Option<(f64, usize, PoolKey, f64)> = None;
         for (type_ix, spot) in self.kinds(&class.spec) {
             let t = &self.types[type_ix];
             let per_machine = tasks_that_fit(class.amount, self.capacity_of(type_ix));
-            if per_machine < 1.0 {
+            if per_machine < 1.0 || self.unit_price(type_ix, spot) > limit {
                 continue;
             }
             let each = if spot { t.spot_price } else { t.price };
@@ -574,23 +601,27 @@
     fn let_go(&mut self, units: &[Unit], now: Time) {
         let idle_ratio = self.config.tunables.idle_ratio;
         let mut back = Vec::new();
-        for unit in units.iter().filter(|u| !u.taken) {
+        for unit in units {
             let Some(ix) = unit.ix else { continue };
             let Some(m) = self.fleet.machines.get_mut(&ix) else {
                 continue;
             };
-            if !m.is_empty() {
-                // Nothing new goes there, so that it can be returned.
-                if m.is_up() {
-                    m.draining = true;
-                }
+            if unit.taken {
+                m.surplus_since = None;
+                continue;
+            }
+            let since = *m.surplus_since.get_or_insert(now);
+            if !m.is_up() || now - since < self.types[unit.type_ix].boot_s * idle_ratio {
                 continue;
             }
-            let idle_s = self.types[unit.type_ix].boot_s * idle_ratio;
-            let rested = m.idle_since.is_some_and(|t| now - t > idle_s);
-            let paid = now - m.rented > CHARGED_S * 0.95;
-            if rested && paid && m.is_up() && m.slots.is_empty() {
-                back.push(ix);
+            if m.is_empty() {
+                let paid = now - m.rented > CHARGED_S * 0.95;
+                if paid && m.slots.is_empty() {
+                    back.push(ix);
+                }
+            } else {
+                // Nothing new goes there, so that it can be returned.
+                m.draining = true;
             }
         }
         for ix in back {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -82,7 +82,8 @@
     pub draining: bool,
     pub suspect: bool,
     pub role: Role,
-    pub idle_since: Option<Time>,
+    /// Since when nothing needs it.
+    pub surplus_since: Option<Time>,
     /// Failures in a row, and the jobs whose tasks failed.
     pub errors: u32,
     pub error_jobs: HashSet<JobIx>,
@@ -125,7 +126,7 @@
             draining: false,
             suspect: false,
             role: Role::Shared,
-            idle_since: None,
+            surplus_since: None,
             errors: 0,
             error_jobs: HashSet::new(),
             cool_until: 0.0,
@@ -149,18 +150,14 @@
         if !slot.over {
             self.used = self.used.plus(slot.amount);
         }
-        self.idle_since = None;
         self.slots.insert(key, slot);
     }
 
-    pub(crate) fn drop_slot(&mut self, key: &SlotKey, now: Time) -> Option<Slot> {
+    pub(crate) fn drop_slot(&mut self, key: &SlotKey) -> Option<Slot> {
         let slot = self.slots.remove(key)?;
         if !slot.over {
             self.release(slot.amount);
         }
-        if self.is_empty() && self.idle_since.is_none() {
-            self.idle_since = Some(now);
-        }
         Some(slot)
     }
 
@@ -172,7 +169,7 @@
         };
     }
 
-    fn finish_slot(&mut self, key: &SlotKey, now: Time) {
+    fn finish_slot(&mut self, key: &SlotKey) {
         if let Some(slot) = self.slots.get_mut(key)
             && !slot.over
         {
@@ -180,9 +177,6 @@
             slot.state = Some(TaskState::Exited);
             let amount = slot.amount;
             self.release(amount);
-            if self.is_empty() {
-                self.idle_since = Some(now);
-            }
         }
     }
 
@@ -273,15 +267,11 @@
         if (report.session, report.seq) <= (m.session, m.seq) {
             return Vec::new();
         }
-        let first = m.heard.is_none();
         m.session = report.session;
         m.seq = report.seq;
         m.token = m.token.max(report.token);
         m.heard = Some(now);
         m.notice = report.notice_s.map(|s| now + s);
-        if first && m.idle_since.is_none() && m.is_empty() {
-            m.idle_since = Some(now);
-        }
         let fenced = report.token >= self.token;
 
         let mut seen = HashSet::with_capacity(report.tasks.len());
@@ -349,7 +339,7 @@
             return false;
         }
         if why == Why::Done {
-            m.finish_slot(&key, now);
+            m.finish_slot(&key);
             m.errors = 0;
             m.error_jobs.clear();
             let known = known.filter(|s| !s.over);
@@ -458,7 +448,7 @@
             .fleet
             .machines
             .get_mut(&ix)
-            .and_then(|m| m.drop_slot(&key, now))
+            .and_then(|m| m.drop_slot(&key))
         else {
             return;
         };
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -1,6 +1,7 @@
 //! The leader's state: jobs, machines, what is to be written, what is to be asked of the cloud.
 //! It does no input or output: events and the present moment go in, actions come out.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -9,6 +10,7 @@
 use crate::autoscale::{Class, CloudBook};
 use crate::book::{Job, JobIx, MachineIx, amount};
 use crate::config::Config;
+use crate::expect::Expected;
 use crate::fleet::{Fleet, Slot, SlotKey};
 use crate::pricing::{Amount, Rule};
 use crate::rt::Time;
@@ -76,6 +78,7 @@
     pub(crate) active: BTreeSet<JobIx>,
     pub(crate) team_used: Vec<Amount>,
     pub(crate) classes: HashMap<String, Class>,
+    pub(crate) expected: Rc<RefCell<Expected>>,
     pub(crate) cloud: CloudBook,
     /// Something changed that a placement pass should look at.
     pub(crate) changed: bool,
@@ -112,6 +115,7 @@
         token: u64,
         types: Rc<Vec<MachineType>>,
         view: &View,
+        expected: Rc<RefCell<Expected>>,
         now: Time,
     ) -> Self {
         let rule = Rule::new(config.tunables.rho, config.tunables.large_share);
@@ -129,7 +133,8 @@
             active: BTreeSet::new(),
             team_used: vec![Amount::default(); teams],
             classes: HashMap::new(),
-            cloud: CloudBook::new(&config, now),
+            expected,
+            cloud: CloudBook::new(now),
             changed: true,
             dirty: BTreeMap::new(),
             ends: BTreeSet::new(),
@@ -219,7 +224,7 @@
         }
         self.wake_job(ix);
         self.maybe_settle(ix);
-        self.note_arrival(ix, now);
+        self.note_arrival(ix);
         self.changed = true;
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cluster;
 pub mod config;
 pub mod election;
+pub mod expect;
 pub mod fleet;
 pub mod http;
 pub mod lead;
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,7 @@
 use crate::cluster::{self, Greeting, Peers, WorkerSeen};
 use crate::config::Config;
 use crate::election::{self, Kept, Tenure};
+use crate::expect::Expected;
 use crate::fleet::Source;
 use crate::http::{CallError, Client, Request, Response, ServerLimits, serve};
 use crate::lead::{AfterTxn, Lead, TxnOutcome};
@@ -68,6 +69,8 @@
 const DEAF_REPORTS: f64 = 2.0;
 /// How long a leader that resigned stands back, in lives of its lease.
 const STAND_BACK_LIVES: f64 = 3.0;
+/// Over how many report intervals arrivals are watched.
+const EXPECT_REPORTS: f64 = 50.0;
 /// Time limit of a call to the cloud.
 const CLOUD_CALL_S: f64 = 5.0;
 /// Part of the cloud's limit that is used.
@@ -104,6 +107,7 @@
     user_writes: Bucket,
     user_writes_live: Cell<usize>,
     view: RefCell<View>,
+    expected: Rc<RefCell<Expected>>,
     /// Whether the view is whole; not while it is read anew.
     loaded: Cell<bool>,
     /// Beats when the view moved on.
@@ -196,6 +200,11 @@
             user_writes: Bucket::new(user_rate, d.state.write_rps / d.nodes as f64),
             user_writes_live: Cell::new(0),
             view: RefCell::default(),
+            expected: Rc::new(RefCell::new(Expected::new(
+                d.workers.report_s,
+                d.workers.report_s * EXPECT_REPORTS,
+                rt.now(),
+            ))),
             loaded: Cell::new(false),
             moved: Pulse::default(),
             hurry: Signal::default(),
@@ -707,6 +716,9 @@
             };
             match view.apply(key, value, event.version) {
                 Some(view::Change::Job(id)) => {
+                    if let Some(spec) = view.jobs.get(&id).and_then(|j| j.spec.as_ref()) {
+                        self.expected.borrow_mut().note(spec, now);
+                    }
                     if let Some(lead) = lead.as_mut()
                         && let Some(job) = view.jobs.get(&id)
                         && job.end.is_none()
@@ -845,7 +857,14 @@
         let Some(types) = view.types.clone() else {
             return false;
         };
-        let mut lead = Lead::begin(self.config.clone(), token, types, &view, now);
+        let mut lead = Lead::begin(
+            self.config.clone(),
+            token,
+            types,
+            &view,
+            self.expected.clone(),
+            now,
+        );
         let within = self.config.deployment.workers.lease_s;
         let mut known: Vec<WorkerSeen> = self.peers.workers(now, within);
         known.extend(
