--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -384,29 +384,27 @@
         let finish = self.tightest_finish(spec);
         let run_s = class.run_s.max(1.0);
         let needed = class.bound + class.pending;
-        // What waits and half of what runs must be worked off in good time.
-        let within = wait.min(finish.unwrap_or(f64::INFINITY));
+        let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks;
+        let level = rate * run_s;
+        let tight = wait < boot_s * TIGHT_BOOTS;
+        // What waits is to be worked off in good time, beside what is expected to come meanwhile.
+        let within = if tight { f64::INFINITY } else { wait }.min(finish.unwrap_or(f64::INFINITY));
         let horizon = if within.is_finite() {
             within * BACKLOG_SHARE
         } else {
             boot_s * BACKLOG_BOOTS
         };
-        let work = (class.pending + class.bound * 0.5) * run_s;
-        let mut lean = (work / horizon).min(needed);
-        let mut full = needed;
-        if wait < boot_s * TIGHT_BOOTS {
+        let backlog = class.pending * (run_s / horizon).min(1.0);
+        let mut lean = level.floor() + backlog;
+        let mut full = needed.max(level);
+        if tight {
             // Nothing rented now would be up in time: machines must be there before the work.
             let ratio = self.config.tunables.spare_ratio;
-            let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks;
-            let spare = if run_s >= boot_s {
-                needed + ratio * rate * boot_s
-            } else {
-                let level = rate * run_s;
-                needed.max(level + ratio * (level * class.job_tasks).sqrt())
-            };
-            full = spare;
             if run_s >= boot_s {
-                lean = spare;
+                full = needed + ratio * rate * boot_s;
+                lean = full;
+            } else {
+                full = full.max(level + ratio * (level * class.job_tasks).sqrt());
             }
         }
         Want {
