--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -239,8 +239,9 @@
 }
 
 impl Lead {
-    /// Takes in a report; returns the commands for its answer. Only the answer to a worker's own
-    /// report may carry launches: those are never carried out late.
+    /// Takes in a report; returns what its answer should carry in any case. Only the answer to a
+    /// worker's own report may carry launches, see [`Lead::answer_commands`]: those are never
+    /// carried out late.
     pub fn on_report(&mut self, report: &Report, source: Source, now: Time) -> Vec<Command> {
         let ix = self.fleet.enter(&report.machine, &report.zone, now);
         let type_ix = self.type_by_name(&report.type_name);
@@ -323,10 +324,25 @@
             m.price = rule.price_of_load(m.used.largest_share(m.capacity));
         }
         self.changed = true;
-        self.write_commands(ix, source, &mut commands);
         commands
     }
 
+    /// Adds to the answer of a worker's own report what it is to do now. A report that is no
+    /// longer the newest known gets nothing: its worker may have given up on it.
+    pub fn answer_commands(&mut self, report: &Report, commands: &mut Vec<Command>) {
+        let newest = |m: &Machine| (m.session, m.seq) == (report.session, report.seq);
+        if let Some(ix) = self.fleet.find(&report.machine)
+            && self.fleet.machines.get(&ix).is_some_and(newest)
+        {
+            self.write_commands(ix, Source::Checkin, commands);
+        }
+    }
+
+    /// Whether work waits that a machine could be given within this moment.
+    pub fn has_work_waiting(&self) -> bool {
+        !self.active.is_empty()
+    }
+
     /// A task ended; whether it may be reaped.
     fn on_exit(&mut self, ix: MachineIx, key: SlotKey, why: Why, fenced: bool, now: Time) -> bool {
         let Some(m) = self.fleet.machines.get_mut(&ix) else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -52,6 +52,8 @@
 const FOLLOW_STALE_S: f64 = 0.4;
 /// Shortest time between two rounds of the leader's duty, so that reports are taken in groups.
 const DUTY_GAP_S: f64 = 0.03;
+/// How long the answer to a report waits for a placement round, in report intervals.
+const HOLD_REPORTS: f64 = 0.15;
 /// Pause after the state service refused or didn't answer.
 const STATE_PAUSE_S: f64 = 0.15;
 /// Renewals within a lease's life.
@@ -124,6 +126,8 @@
     leader_moved: Signal,
     resign: Signal,
     work: Signal,
+    /// Beats when the leader has placed and stored what it could.
+    round: Pulse,
     cloud_work: Signal,
     seen: RefCell<HashMap<String, Seen>>,
     plea_at: Cell<Time>,
@@ -217,6 +221,7 @@
             leader_moved: Signal::default(),
             resign: Signal::default(),
             work: Signal::default(),
+            round: Pulse::default(),
             cloud_work: Signal::default(),
             seen: RefCell::default(),
             plea_at: Cell::new(f64::NEG_INFINITY),
@@ -267,7 +272,7 @@
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         let p = request.path.split('?').next().unwrap_or_default();
         match (request.method.as_str(), p) {
-            ("POST", path::REPORT) => self.report(&request.body),
+            ("POST", path::REPORT) => self.report(&request.body).await,
             ("POST", path::JOBS) => self.submit(&request.body).await,
             ("GET", path::READY) => self.ready(),
             (_, path::REPORT | path::JOBS | path::READY) => {
@@ -524,7 +529,7 @@
 
     // ---- reports
 
-    fn report(&self, body: &[u8]) -> Response {
+    async fn report(&self, body: &[u8]) -> Response {
         let Ok(report) = serde_json::from_slice::<Report>(body) else {
             return Response::error(400, "not a report");
         };
@@ -550,16 +555,26 @@
             entry.at = now;
             entry.worker.session = report.session;
         }
-        let token = self.acting();
-        if let Some(token) = token
-            && report.token <= token
-            && let Some(lead) = self.lead.borrow_mut().as_mut()
-            && lead.token == token
-        {
-            lead.last_report = now;
-            let commands = lead.on_report(&report, Source::Checkin, now);
-            self.work.set();
-            return Response::json(200, &ReportReply { token, commands });
+        if let Some(token) = self.acting().filter(|t| report.token <= *t) {
+            let taken = self.with_lead(token, |lead| {
+                lead.last_report = now;
+                let commands = lead.on_report(&report, Source::Checkin, now);
+                (commands, lead.has_work_waiting())
+            });
+            if let Some((mut commands, work_waits)) = taken {
+                self.work.set();
+                if work_waits {
+                    // What this report makes room for can go out with its answer, once stored.
+                    let hold = self.config.deployment.workers.report_s * HOLD_REPORTS;
+                    let _ = self.rt.timeout(hold, self.round.next()).await;
+                }
+                let answered =
+                    self.with_lead(token, |lead| lead.answer_commands(&report, &mut commands));
+                return match answered {
+                    Some(()) => Response::json(200, &ReportReply { token, commands }),
+                    None => Response::later(503, "no longer leading", RETRY_S),
+                };
+            }
         }
         match leader {
             Some((host, token)) if host != self.config.node => {
@@ -940,6 +955,7 @@
             }
             self.send_directs(token, &directs);
             self.write(token).await;
+            self.round.beat();
         }
     }
 
