--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::book::{JobIx, MachineIx, amount};
-use crate::expect::class_name;
+use crate::expect::{Mean, class_name};
 use crate::fleet::Role;
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
@@ -15,18 +15,31 @@
 #[derive(Debug, Clone)]
 pub struct Class {
     spec: Rc<Submission>,
-    /// What a task takes, smoothed.
+    /// What a task takes, on the mean.
     amount: Amount,
-    /// Tasks of a job, smoothed.
-    job_tasks: f64,
-    /// Run time of a task, smoothed; the owners' estimate until one was seen.
-    run_s: f64,
-    runs_seen: bool,
+    /// Tasks of a job.
+    job_tasks: Mean,
+    /// Run time of a task as its owner expects it, and as seen.
+    estimate_s: Mean,
+    run_s: Mean,
+    shares: [Mean; 3],
     /// Unfinished tasks now.
     pending: f64,
     bound: f64,
 }
 
+impl Class {
+    fn job_tasks(&self) -> f64 {
+        self.job_tasks.get().unwrap_or(1.0)
+    }
+
+    /// The run time to reckon with; the first few that are seen are the shortest ones.
+    fn run_s(&self) -> f64 {
+        let seen = self.run_s.get().filter(|_| self.run_s.seen() >= RUNS_MIN);
+        seen.or(self.estimate_s.get()).unwrap_or(1.0).max(1.0)
+    }
+}
+
 /// Where machines come from.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PoolKey {
@@ -102,6 +115,10 @@
 const TIGHT_BOOTS: f64 = 1.5;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
 const BACKLOG_SHARE: f64 = 0.5;
+/// About how many of the last jobs of a class make its means.
+const JOBS_KEPT: f64 = 40.0;
+/// Run times to be seen before they count for more than the owners' estimates.
+const RUNS_MIN: f64 = 20.0;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
 
@@ -149,39 +166,38 @@
     pub(crate) fn note_arrival(&mut self, ix: JobIx) {
         let job = &self.jobs[&ix];
         let spec = job.spec.clone();
-        let tasks = f64::from(spec.tasks);
+        let a = amount(&spec);
         let class = self
             .classes
             .entry(class_name(&spec))
             .or_insert_with(|| Class {
-                amount: amount(&spec),
-                job_tasks: tasks,
-                run_s: spec.estimate_s,
-                runs_seen: false,
+                amount: a,
+                job_tasks: Mean::default(),
+                estimate_s: Mean::default(),
+                run_s: Mean::default(),
+                shares: [Mean::default(); 3],
                 pending: 0.0,
                 bound: 0.0,
                 spec: spec.clone(),
             });
-        let mix = |old: f64, new: f64| old * 0.8 + new * 0.2;
-        let a = amount(&spec);
+        class.job_tasks.add(f64::from(spec.tasks), JOBS_KEPT);
+        class.estimate_s.add(spec.estimate_s, JOBS_KEPT);
+        let mut mean = |at: usize, value: f64| {
+            class.shares[at].add(value, JOBS_KEPT);
+            class.shares[at].get().unwrap_or(value)
+        };
         class.amount = Amount {
-            cpus: mix(class.amount.cpus, a.cpus),
-            gpus: mix(class.amount.gpus, a.gpus),
-            memory_gb: mix(class.amount.memory_gb, a.memory_gb),
+            cpus: mean(0, a.cpus),
+            gpus: mean(1, a.gpus),
+            memory_gb: mean(2, a.memory_gb),
         };
-        class.job_tasks = mix(class.job_tasks, tasks);
     }
 
     /// A task ran for so long.
     pub(crate) fn note_run(&mut self, ix: JobIx, ran: f64) {
         let name = class_name(&self.jobs[&ix].spec);
         if let Some(class) = self.classes.get_mut(&name) {
-            class.run_s = if class.runs_seen {
-                class.run_s * 0.95 + ran * 0.05
-            } else {
-                class.run_s * 0.5 + ran * 0.5
-            };
-            class.runs_seen = true;
+            class.run_s.add(ran, JOBS_KEPT * class.job_tasks());
         }
     }
 
@@ -305,6 +321,13 @@
         });
         for class in &classes {
             let want = self.want(class, now);
+            tracing::debug!(
+                "{}: {} wait, {} run, {:.0} s each; wanted {want:?}",
+                class.spec.class,
+                class.pending,
+                class.bound,
+                class.run_s()
+            );
             self.cover(class, want, &mut units, &mut rents, now);
         }
         for unit in &units {
@@ -382,9 +405,9 @@
             .fold(f64::INFINITY, f64::min);
         let wait = self.tightest_wait(spec);
         let finish = self.tightest_finish(spec);
-        let run_s = class.run_s.max(1.0);
+        let run_s = class.run_s();
         let needed = class.bound + class.pending;
-        let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks;
+        let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks();
         let level = rate * run_s;
         let tight = wait < boot_s * TIGHT_BOOTS;
         // What waits is to be worked off in good time, beside what is expected to come meanwhile.
@@ -404,12 +427,13 @@
                 full = needed + ratio * rate * boot_s;
                 lean = full;
             } else {
-                full = full.max(level + ratio * (level * class.job_tasks).sqrt());
+                full = full.max(level + ratio * (level * class.job_tasks()).sqrt());
             }
         }
         Want {
             full: full.ceil(),
-            lean: lean.ceil(),
+            // Never nothing: what waits must run some time, however little it is.
+            lean: lean.round().max(needed.min(1.0)),
         }
     }
 
--- a/src/expect.rs
+++ b/src/expect.rs
@@ -15,18 +15,18 @@
 
 /// Arrivals seen, by class.
 ///
-/// Only whether any job of a class came in an interval is counted, not how many: a crowd that
-/// comes at one moment, as at a start or after an outage, says little about the next minutes.
+/// Only a few jobs of a class are counted in an interval: a crowd that comes at one moment, as at a
+/// start or after an outage, says little about the next minutes.
 #[derive(Debug)]
 pub struct Expected {
     interval_s: f64,
     kept: u64,
     since: Time,
-    classes: HashMap<String, VecDeque<u64>>,
+    classes: HashMap<String, VecDeque<(u64, u32)>>,
 }
 
-/// Fullest share of intervals that is believed.
-const SHARE_MAX: f64 = 0.95;
+/// Most arrivals counted in one interval.
+const CROWD: u32 = 3;
 
 impl Expected {
     /// Counts intervals of `interval_s` over the last `window_s`.
@@ -48,10 +48,11 @@
         let at = self.interval(now);
         let kept = self.kept;
         let seen = self.classes.entry(class_name(spec)).or_default();
-        if seen.back() != Some(&at) {
-            seen.push_back(at);
+        match seen.back_mut() {
+            Some((last, n)) if *last == at => *n = (*n + 1).min(CROWD),
+            _ => seen.push_back((at, 1)),
         }
-        while seen.front().is_some_and(|first| first + kept <= at) {
+        while seen.front().is_some_and(|(first, _)| first + kept <= at) {
             seen.pop_front();
         }
     }
@@ -62,11 +63,39 @@
             return 0.0;
         };
         let at = self.interval(now);
-        let recent = seen.iter().filter(|i| **i + self.kept > at).count() as f64;
+        let recent: u32 = seen
+            .iter()
+            .filter(|(i, _)| *i + self.kept > at)
+            .map(|(_, n)| n)
+            .sum();
         let watched = (at - self.interval(self.since) + 1).min(self.kept);
         // A quarter of the window is watched before much is concluded.
-        let share = recent / watched.max(self.kept / 4).max(1) as f64;
-        -(1.0 - share.min(SHARE_MAX)).ln() / self.interval_s
+        f64::from(recent) / (watched.max(self.kept / 4).max(1) as f64 * self.interval_s)
+    }
+}
+
+/// A mean that is plain at first and slowly forgets later.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Mean {
+    value: f64,
+    seen: f64,
+}
+
+impl Mean {
+    /// Takes in a value; about the last `kept` of them count.
+    pub fn add(&mut self, value: f64, kept: f64) {
+        self.seen = (self.seen + 1.0).min(kept);
+        self.value += (value - self.value) / self.seen;
+    }
+
+    /// How many values count.
+    pub fn seen(&self) -> f64 {
+        self.seen
+    }
+
+    /// The mean, if anything was seen.
+    pub fn get(&self) -> Option<f64> {
+        (self.seen > 0.0).then_some(self.value)
     }
 }
 
