--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -349,6 +349,9 @@
             }
         }
         self.let_go(&units, now);
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            self.log_fleet();
+        }
         if self.cloud.rents.is_empty() {
             for ((pool, role), count) in rents {
                 let mut left = count;
@@ -370,6 +373,26 @@
         }
     }
 
+    /// How much of which kind is there and used.
+    fn log_fleet(&self) {
+        let mut kinds: BTreeMap<(usize, bool), [f64; 4]> = BTreeMap::new();
+        for m in self.fleet.machines.values() {
+            let Some(type_ix) = m.type_ix else { continue };
+            let k = kinds.entry((type_ix, m.spot)).or_default();
+            k[usize::from(m.is_up())] += 1.0;
+            k[2] += f64::from(u8::from(m.draining));
+            if m.is_up() {
+                k[3] += m.used.largest_share(m.capacity);
+            }
+        }
+        for ((type_ix, spot), [coming, up, draining, used]) in kinds {
+            tracing::debug!(
+                "{} spot {spot}: {coming} coming, {up} up, {draining} draining, {used:.1} used",
+                self.types[type_ix].name
+            );
+        }
+    }
+
     fn kinds(&self, spec: &Submission) -> Vec<(usize, bool)> {
         let mut kinds = Vec::new();
         for (ix, t) in self.types.iter().enumerate() {
@@ -472,7 +495,7 @@
         units
     }
 
-    fn unit_price(&self, type_ix: usize, spot: bool) -> f64 {
+    pub(crate) fn unit_price(&self, type_ix: usize, spot: bool) -> f64 {
         let t = &self.types[type_ix];
         let price = if spot { t.spot_price } else { t.price };
         price / t.cpus.max(1.0)
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -21,10 +21,14 @@
     spot: bool,
     type_ix: usize,
     role: Role,
-    empty: bool,
+    /// What a CPU costs there.
+    cost: f64,
     now: Candidate,
 }
 
+/// Machines that cost at most this much more than the cheapest allowed ones are tried first.
+const CHEAP: f64 = 1.6;
+
 impl Lead {
     /// Places what can be placed. What it decides is launched once it is stored.
     pub fn plan(&mut self, now: Time) {
@@ -43,7 +47,7 @@
                     spot: m.spot,
                     type_ix: m.type_ix?,
                     role: m.role,
-                    empty: m.is_empty(),
+                    cost: self.unit_price(m.type_ix?, m.spot),
                     now: Candidate {
                         capacity: m.capacity,
                         used: m.used,
@@ -147,12 +151,13 @@
             if !self.team_allows(team, amount) {
                 return;
             }
-            let allowed = places
+            let allowed: Vec<(usize, Candidate)> = places
                 .iter()
                 .enumerate()
                 .filter(|(_, p)| self.is_allowed(&spec, amount, p) && zones.allow(&p.zone))
-                .map(|(at, p)| (at, p.now));
-            let Some((at, price)) = self.rule.choose(amount, weight, allowed) else {
+                .map(|(at, p)| (at, p.now))
+                .collect();
+            let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
                 return;
             };
             let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
@@ -161,7 +166,6 @@
             let place = &mut places[at];
             place.now.price = price;
             place.now.used = place.now.used.plus(amount);
-            place.empty = false;
             zones.add(&place.zone);
             self.bind(ix, task, place.ix, attempt, now);
         }
@@ -192,7 +196,7 @@
             let mut trial: Vec<Candidate> = places.iter().map(|p| p.now).collect();
             let mut chosen = Vec::new();
             for _ in 0..spec.tasks {
-                let allowed = places
+                let allowed: Vec<(usize, Candidate)> = places
                     .iter()
                     .enumerate()
                     .filter(|(_, p)| {
@@ -200,8 +204,9 @@
                             && self.is_allowed(&spec, amount, p)
                             && zones.allow(&p.zone)
                     })
-                    .map(|(at, _)| (at, trial[at]));
-                let Some((at, price)) = self.rule.choose(amount, weight, allowed) else {
+                    .map(|(at, _)| (at, trial[at]))
+                    .collect();
+                let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
                     break;
                 };
                 trial[at].price = price;
@@ -218,13 +223,35 @@
                     return;
                 };
                 places[at].now = trial[at];
-                places[at].empty = false;
                 self.bind(ix, task, places[at].ix, attempt, now);
             }
             return;
         }
     }
 
+    /// Chooses by the pricing rule, first among the cheap machines with room, so that dear ones
+    /// come free and can be returned; then among all that are allowed.
+    fn choose(
+        &self,
+        amount: Amount,
+        weight: f64,
+        allowed: &[(usize, Candidate)],
+        places: &[Place],
+    ) -> Option<(usize, f64)> {
+        let fits = |c: &Candidate| amount.fits(c.capacity.minus(c.used));
+        let cheapest = allowed
+            .iter()
+            .filter(|(_, c)| fits(c))
+            .map(|(at, _)| places[*at].cost)
+            .fold(f64::INFINITY, f64::min);
+        let cheap = allowed
+            .iter()
+            .filter(|(at, _)| places[*at].cost <= cheapest * CHEAP);
+        self.rule
+            .choose(amount, weight, cheap.copied())
+            .or_else(|| self.rule.choose(amount, weight, allowed.iter().copied()))
+    }
+
     /// Whether a task may go to a machine at all; room and price come after.
     fn is_allowed(&self, spec: &Submission, amount: Amount, p: &Place) -> bool {
         let by_job = (spec.spot || !p.spot)
