Scenarios with fake clock and scripted peers; tell failing machines from failing jobs

Found by them: large jobs were never cleared away, a stop was not sent directly for a task just launched, and a bad job could have its machines set aside one after the other.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -716,16 +716,9 @@
     /// Takes in what came of a call.
     pub fn on_cloud(&mut self, call: CloudCall, answer: CloudAnswer, now: Time) {
         match (call, answer) {
-            (CloudCall::Types, CloudAnswer::Types(types)) => {
-                // Prices change; the list of types only grows while a tenure lasts.
-                if types.len() == self.types.len()
-                    && types
-                        .iter()
-                        .zip(self.types.iter())
-                        .all(|(a, b)| a.name == b.name)
-                {
-                    self.types = Rc::new(types);
-                }
+            // Prices change; the types themselves stay while a tenure lasts.
+            (CloudCall::Types, CloudAnswer::Types(types)) if self.same_types(&types) => {
+                self.types = Rc::new(types);
             }
             (CloudCall::List { .. }, CloudAnswer::List(machines, more)) => {
                 self.cloud.list_after = more
@@ -763,6 +756,14 @@
         }
     }
 
+    fn same_types(&self, types: &[MachineType]) -> bool {
+        types.len() == self.types.len()
+            && types
+                .iter()
+                .zip(&*self.types)
+                .all(|(a, b)| a.name == b.name)
+    }
+
     fn pool_of(&self, rent: &Rent) -> Option<PoolKey> {
         Some(PoolKey {
             type_ix: self.type_by_name(&rent.type_name)?,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -506,9 +506,10 @@
             }
             let job = &self.jobs[&key.job];
             if let Some(grace_s) = slot.stop {
-                // A task that saves is left to it, unless it is to go at once.
+                // A task that saves is left to it, unless it is to go at once. A stop may overtake
+                // its launch; it is then repeated until a report shows the task gone.
                 let saving = slot.state == Some(TaskState::Saving);
-                if slot.state.is_some() && !(saving && grace_s > 0.0) {
+                if !(saving && grace_s > 0.0) {
                     commands.push(Command::Stop {
                         task: job_task(&job.id, key.task),
                         attempt: key.attempt,
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -103,8 +103,10 @@
 const BACKOFF_REPORTS_MAX: f64 = 40.0;
 /// Machines on which a job must fail before the job itself is at fault.
 const JOB_FAULT_MACHINES: usize = 3;
-/// Failures in a row after which a machine is set aside, if the jobs do well elsewhere.
-const MACHINE_FAULT_ERRORS: u32 = 2;
+/// Jobs that must fail in a row on a machine before it is set aside, or failures of a single job
+/// that fails nowhere else.
+const MACHINE_FAULT_JOBS: usize = 2;
+const MACHINE_FAULT_ERRORS: u32 = 3;
 /// Pause of a machine after a failure, in report intervals.
 const COOL_REPORTS: f64 = 2.0;
 
@@ -349,8 +351,8 @@
             return;
         };
         job.failed_on.insert(machine);
-        let job_at_fault = job.failed_on.len() >= JOB_FAULT_MACHINES;
-        if job_at_fault {
+        let failed_on = job.failed_on.len();
+        if failed_on >= JOB_FAULT_MACHINES {
             job.backoff_s = (job.backoff_s * 2.0)
                 .max(report_s * BACKOFF_REPORTS)
                 .min(report_s * BACKOFF_REPORTS_MAX);
@@ -363,7 +365,10 @@
         m.errors += 1;
         m.error_jobs.insert(ix);
         m.cool_until = now + report_s * COOL_REPORTS * f64::from(m.errors);
-        if m.errors >= MACHINE_FAULT_ERRORS && !m.suspect {
+        // One job's failures speak against a machine only while it fails nowhere else.
+        let at_fault = m.error_jobs.len() >= MACHINE_FAULT_JOBS
+            || (failed_on == 1 && m.errors >= MACHINE_FAULT_ERRORS);
+        if at_fault && !m.suspect {
             tracing::info!("{} is set aside: tasks keep failing there", m.name);
             m.suspect = true;
         }
@@ -548,7 +553,7 @@
             let stored: Vec<u32> = (0..job.chunks.len() as u32)
                 .filter(|c| job.chunks[*c as usize].stamp > 0)
                 .collect();
-            if txn.changes.len() + 1 + stored.len().min(spare) > spare {
+            if txn.changes.len() + 2 > spare {
                 break;
             }
             // A large job is cleared over several transactions, its record last.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod view;
 pub mod wire;
 
+#[cfg(test)]
+mod scenarios;
 #[cfg(test)]
 mod testing;
--- /dev/null
+++ b/src/scenarios.rs
@@ -0,0 +1,397 @@
+//! Failures played against the leader's state with a fake clock, a state service in memory and
+//! scripted workers.
+
+use crate::fleet::Source;
+use crate::lead::{AfterTxn, TxnOutcome};
+use crate::testing::{FakeStore, FakeWorker, job};
+use crate::view::{End, EndRecord, key};
+use crate::wire::{Command, Kind, Submission, Why};
+
+fn starts(commands: &[Command]) -> usize {
+    let start = |c: &&Command| matches!(c, Command::Start { .. });
+    commands.iter().filter(start).count()
+}
+
+fn gang(id: &str, tasks: u32) -> Submission {
+    Submission {
+        kind: Kind::Gang,
+        cpus: 6.0,
+        ..job(id, tasks)
+    }
+}
+
+/// Lets a worker report until the leader knows that it has seen its token.
+fn meet(worker: &mut FakeWorker, lead: &mut crate::lead::Lead, now: f64) {
+    worker.checkin(lead, now);
+    worker.checkin(lead, now);
+}
+
+#[test]
+fn nothing_is_launched_before_its_intent_is_stored() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 2));
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    lead.plan(1.0);
+    assert_eq!(starts(&w.checkin(&mut lead, 1.5)), 0);
+    store.settle(&mut lead, 2.0);
+    assert_eq!(starts(&w.checkin(&mut lead, 2.5)), 2);
+    // The answer was carried out; nothing is launched twice.
+    assert_eq!(starts(&w.checkin(&mut lead, 3.0)), 0);
+}
+
+#[test]
+fn takeover_while_a_launch_is_in_flight_waits_for_that_machine() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    let mut other = FakeWorker::new("i-2", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    store.settle(&mut old, 2.0);
+    // The old leader's answer with the launch is under way when another takes over.
+    let report = w.next();
+    let mut late = old.on_report(&report, Source::Checkin, 2.5);
+    old.answer_commands(&report, &mut late);
+    assert_eq!(starts(&late), 1);
+
+    let mut new = store.elect("n1", 10.0);
+    meet(&mut other, &mut new, 11.0);
+    store.settle(&mut new, 11.0);
+    assert_eq!(starts(&other.checkin(&mut new, 12.0)), 0);
+    // A report from before the launch arrives late. It proves nothing: the worker had not seen
+    // the new token, so the old launch may still be carried out.
+    let mut before = report.clone();
+    before.seq += 1;
+    new.on_report(&before, Source::Checkin, 12.0);
+    store.settle(&mut new, 12.0);
+    assert_eq!(starts(&other.checkin(&mut new, 12.5)), 0);
+
+    w.report.seq += 1;
+    w.execute(old.token, &late);
+    assert_eq!(w.running(), ["j-1/0"]);
+    meet(&mut w, &mut new, 13.0);
+    store.settle(&mut new, 13.0);
+    assert_eq!(starts(&other.checkin(&mut new, 14.0)), 0);
+    w.end("j-1/0", Why::Done);
+    w.checkin(&mut new, 15.0);
+    store.settle(&mut new, 15.0);
+    assert_eq!(store.end("j-1"), Some(End::Done));
+}
+
+#[test]
+fn a_task_lost_with_the_old_leader_is_placed_anew_once_fenced() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    store.settle(&mut old, 2.0);
+
+    let mut new = store.elect("n1", 10.0);
+    meet(&mut w, &mut new, 11.0);
+    store.settle(&mut new, 11.0);
+    let commands = w.checkin(&mut new, 12.0);
+    // A new attempt: the old one is never used again.
+    assert!(
+        matches!(&commands[..], [Command::Start { attempt: 2, .. }]),
+        "{commands:?}"
+    );
+}
+
+#[test]
+fn an_old_exit_is_reaped_only_after_fencing_and_directs_never_launch() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    store.settle(&mut old, 2.0);
+    w.checkin(&mut old, 2.5);
+    w.end("j-1/0", Why::Error);
+
+    // Reaped before the worker knows the new token, a late command of the old leader would start
+    // the attempt once more.
+    let mut new = store.elect("n1", 10.0);
+    let first = new.on_report(&w.next(), Source::Checkin, 11.0);
+    assert_eq!(first, []);
+    w.report.token = new.token;
+    let second = new.on_report(&w.next(), Source::Checkin, 12.0);
+    assert!(
+        matches!(&second[..], [Command::Forget { .. }]),
+        "{second:?}"
+    );
+
+    // A direct message may come minutes late: it never carries a launch.
+    store.settle(&mut new, 30.0);
+    new.call_on("i-1", "north", "127.0.0.1:9", 1, 30.0);
+    for (_, _, commands) in new.directs(31.0, 0.0, 10) {
+        assert_eq!(starts(&commands), 0);
+    }
+}
+
+#[test]
+fn a_withdrawal_that_races_completion_has_one_outcome() {
+    for user_first in [true, false] {
+        let mut store = FakeStore::default();
+        store.submit(&job("j-1", 1));
+        let mut lead = store.elect("n0", 0.0);
+        let mut w = FakeWorker::new("i-1", "small", "north");
+        meet(&mut w, &mut lead, 1.0);
+        store.settle(&mut lead, 2.0);
+        w.checkin(&mut lead, 2.5);
+        w.end("j-1/0", Why::Done);
+        w.checkin(&mut lead, 3.0);
+        let txn = lead.next_txn(3.0).unwrap();
+        let end = EndRecord {
+            end: End::Cancelled,
+            done: 0,
+        };
+        if user_first {
+            store.put(key::end("j-1"), &end);
+        }
+        let outcome = store.apply(&txn);
+        assert_eq!(lead.txn_done(outcome.clone(), 3.0), AfterTxn::Go);
+        let expected = if user_first {
+            assert!(matches!(outcome, TxnOutcome::Conflict(_)));
+            lead.on_end("j-1", &end, 3.1);
+            End::Cancelled
+        } else {
+            End::Done
+        };
+        store.settle(&mut lead, 4.0);
+        assert_eq!(store.end("j-1"), Some(expected));
+        // Off the machine, and cleared away but for its end.
+        w.checkin(&mut lead, 5.0);
+        w.checkin(&mut lead, 6.0);
+        store.settle(&mut lead, 7.0);
+        assert_eq!(w.report.tasks.len(), 0);
+        assert!(!store.keys.contains_key(&key::job("j-1")));
+        assert_eq!(store.end("j-1"), Some(expected));
+    }
+}
+
+#[test]
+fn withdrawn_tasks_are_stopped_and_never_launched() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 6));
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    store.settle(&mut lead, 2.0);
+    w.checkin(&mut lead, 2.5);
+    assert_eq!(w.running().len(), 4);
+    let end = EndRecord {
+        end: End::Cancelled,
+        done: 0,
+    };
+    store.put(key::end("j-1"), &end);
+    lead.on_end("j-1", &end, 3.0);
+    let directs = lead.directs(3.0, 0.0, 10);
+    assert_eq!(directs.len(), 1);
+    assert_eq!(directs[0].2.len(), 4);
+    store.settle(&mut lead, 3.0);
+    assert_eq!(starts(&w.checkin(&mut lead, 4.0)), 0);
+    assert_eq!(w.running().len(), 0);
+}
+
+#[test]
+fn a_lost_answer_to_a_write_is_settled_by_reading_back() {
+    for applied in [true, false] {
+        let mut store = FakeStore::default();
+        store.submit(&job("j-1", 1));
+        let mut lead = store.elect("n0", 0.0);
+        let mut w = FakeWorker::new("i-1", "small", "north");
+        meet(&mut w, &mut lead, 1.0);
+        lead.plan(2.0);
+        let txn = lead.next_txn(2.0).unwrap();
+        if applied {
+            store.apply(&txn);
+        }
+        assert_eq!(lead.txn_done(TxnOutcome::Unknown, 2.0), AfterTxn::Again);
+        // Not known to be stored: not launched.
+        assert_eq!(starts(&w.checkin(&mut lead, 2.5)), 0);
+        let again = lead.next_txn(3.0).unwrap();
+        let outcome = store.apply(&again);
+        match lead.txn_done(outcome, 3.0) {
+            AfterTxn::ReadBack(key) => {
+                assert!(applied);
+                lead.read_back(store.keys[&key].1, 3.0);
+            }
+            after => assert_eq!((after, applied), (AfterTxn::Go, false)),
+        }
+        assert_eq!(starts(&w.checkin(&mut lead, 3.5)), 1);
+    }
+}
+
+#[test]
+fn a_write_after_the_office_was_lost_ends_the_tenure() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    old.plan(2.0);
+    let txn = old.next_txn(2.0).unwrap();
+    store.elect("n1", 10.0);
+    let outcome = store.apply(&txn);
+    assert_eq!(old.txn_done(outcome, 10.0), AfterTxn::Lost);
+}
+
+#[test]
+fn a_gang_that_loses_a_machine_starts_anew_as_a_whole() {
+    for running in [false, true] {
+        let mut store = FakeStore::default();
+        store.submit(&gang("j-1", 2));
+        let mut lead = store.elect("n0", 0.0);
+        let mut a = FakeWorker::new("i-1", "small", "north");
+        let mut b = FakeWorker::new("i-2", "small", "south");
+        meet(&mut a, &mut lead, 1.0);
+        // Not before all tasks have a place.
+        store.settle(&mut lead, 1.0);
+        assert_eq!(starts(&a.checkin(&mut lead, 1.5)), 0);
+        meet(&mut b, &mut lead, 2.0);
+        store.settle(&mut lead, 2.0);
+        assert_eq!(starts(&a.checkin(&mut lead, 2.5)), 1);
+        if running {
+            assert_eq!(starts(&b.checkin(&mut lead, 2.5)), 1);
+        }
+        // The second machine goes silent for longer than its worker's lease.
+        let mut c = FakeWorker::new("i-3", "small", "south");
+        for i in 0..14 {
+            let now = 3.0 + f64::from(i) * 3.0;
+            a.checkin(&mut lead, now);
+            meet(&mut c, &mut lead, now);
+            store.settle(&mut lead, now);
+            lead.expire(now);
+            // The rest of the old attempt is not joined by a new one.
+            let attempts: Vec<u64> = a.report.tasks.iter().map(|t| t.attempt).collect();
+            assert!(attempts.len() <= 1, "{attempts:?}");
+        }
+        assert_eq!((a.running().len(), c.running().len()), (1, 1));
+        assert_eq!(a.report.tasks[0].attempt, 2);
+        assert_eq!(c.report.tasks[0].attempt, 2);
+    }
+}
+
+#[test]
+fn a_team_at_its_limit_stays_there_through_a_takeover() {
+    let mut store = FakeStore::default();
+    let mut big = job("j-1", 40);
+    big.team = "red".into();
+    store.submit(&big);
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "big", "north");
+    meet(&mut w, &mut old, 1.0);
+    store.settle(&mut old, 2.0);
+    w.checkin(&mut old, 2.5);
+    // 40 CPUs are the limit: 20 tasks of 2.
+    assert_eq!(w.running().len(), 20);
+    let mut new = store.elect("n1", 10.0);
+    let mut other = FakeWorker::new("i-2", "big", "north");
+    meet(&mut other, &mut new, 11.0);
+    store.settle(&mut new, 11.0);
+    assert_eq!(starts(&other.checkin(&mut new, 12.0)), 0);
+    // The first machine is not heard of: its tasks count until its worker's lease has run out.
+    new.expire(10.0 + 20.0);
+    store.settle(&mut new, 30.0);
+    meet(&mut other, &mut new, 30.0);
+    assert_eq!(starts(&other.checkin(&mut new, 30.0)), 0);
+    new.expire(32.0);
+    meet(&mut other, &mut new, 32.0);
+    store.settle(&mut new, 32.0);
+    assert_eq!(starts(&other.checkin(&mut new, 33.0)), 20);
+}
+
+#[test]
+fn an_array_larger_than_one_value_survives_a_takeover() {
+    let mut store = FakeStore::default();
+    let mut large = job("j-1", 1000);
+    large.cpus = 0.05;
+    large.memory_gb = 0.1;
+    store.submit(&large);
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "big", "north");
+    meet(&mut w, &mut old, 1.0);
+    let mut now = 1.0;
+    while w.running().len() < 1000 {
+        now += 1.0;
+        assert!(now < 100.0, "{} run", w.running().len());
+        store.settle(&mut old, now);
+        w.checkin(&mut old, now);
+    }
+    let values = |store: &FakeStore| {
+        let runs = store.keys.iter().filter(|(k, _)| k.contains("/run/"));
+        runs.map(|(_, (v, _))| v.get().len()).collect::<Vec<_>>()
+    };
+    let sizes = values(&store);
+    assert!(sizes.len() > 5, "{sizes:?}");
+    assert!(sizes.iter().all(|s| *s <= 8 * 1024), "{sizes:?}");
+    for task in (0..1000).filter(|t| t % 3 == 0) {
+        w.end(&format!("j-1/{task}"), Why::Done);
+    }
+    for _ in 0..5 {
+        now += 1.0;
+        w.checkin(&mut old, now);
+        store.settle(&mut old, now + 0.9);
+    }
+    let mut new = store.elect("n1", now + 10.0);
+    now += 11.0;
+    let shown = store.view().jobs["j-1"].status("j-1").done;
+    assert!(shown > 0);
+    for task in 0..1000 {
+        w.end(&format!("j-1/{task}"), Why::Done);
+    }
+    for _ in 0..12 {
+        now += 1.0;
+        w.checkin(&mut new, now);
+        store.settle(&mut new, now);
+    }
+    assert_eq!(store.end("j-1"), Some(End::Done));
+    assert_eq!(w.report.tasks.len(), 0);
+    // The end stays when all else is cleared away.
+    assert_eq!(values(&store).len(), 0);
+}
+
+#[test]
+fn a_machine_where_tasks_keep_failing_is_set_aside_but_not_for_one_bad_job() {
+    let mut store = FakeStore::default();
+    for i in 1..=3 {
+        store.submit(&job(&format!("j-{i}"), 1));
+    }
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    let mut now = 1.0;
+    for _ in 0..30 {
+        now += 3.0;
+        store.settle(&mut lead, now);
+        w.checkin(&mut lead, now);
+        for task in w.running() {
+            w.end(&task, Why::Error);
+        }
+        w.checkin(&mut lead, now);
+    }
+    let m = lead.fleet.machines.values().next().unwrap();
+    assert!(m.suspect);
+
+    let mut store = FakeStore::default();
+    store.submit(&job("j-9", 1));
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws: Vec<FakeWorker> = (0..6)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let mut now = 1.0;
+    for _ in 0..40 {
+        now += 3.0;
+        for w in &mut ws {
+            w.checkin(&mut lead, now);
+            for task in w.running() {
+                w.end(&task, Why::Error);
+            }
+        }
+        store.settle(&mut lead, now);
+    }
+    assert!(lead.fleet.machines.values().all(|m| !m.suspect));
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -157,6 +157,7 @@
                 .filter(|(_, p)| self.is_allowed(&spec, amount, p) && zones.allow(&p.zone))
                 .map(|(at, p)| (at, p.now))
                 .collect();
+            let allowed = self.without_failed(ix, allowed, places);
             let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
                 return;
             };
@@ -206,6 +207,7 @@
                     })
                     .map(|(at, _)| (at, trial[at]))
                     .collect();
+                let allowed = self.without_failed(ix, allowed, places);
                 let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
                     break;
                 };
@@ -252,6 +254,25 @@
             .or_else(|| self.rule.choose(amount, weight, allowed.iter().copied()))
     }
 
+    /// Leaves out machines where the job's tasks failed, if there are others.
+    fn without_failed(
+        &self,
+        ix: JobIx,
+        allowed: Vec<(usize, Candidate)>,
+        places: &[Place],
+    ) -> Vec<(usize, Candidate)> {
+        let failed_on = &self.jobs[&ix].failed_on;
+        if failed_on.is_empty() {
+            return allowed;
+        }
+        let others: Vec<(usize, Candidate)> = allowed
+            .iter()
+            .filter(|(at, _)| !failed_on.contains(&places[*at].ix))
+            .copied()
+            .collect();
+        if others.is_empty() { allowed } else { others }
+    }
+
     /// Whether a task may go to a machine at all; room and price come after.
     fn is_allowed(&self, spec: &Submission, amount: Amount, p: &Place) -> bool {
         let by_job = (spec.spot || !p.spot)
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -1,6 +1,20 @@
 //! What several tests share.
 
-use crate::wire::{Kind, MachineType, MachineTypes, Priority, Submission};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use serde_json::value::{RawValue, to_raw_value};
+
+use crate::expect::Expected;
+use crate::fleet::Source;
+use crate::lead::{AfterTxn, Lead, TxnOutcome};
+use crate::rt::Time;
+use crate::view::{End, LeaderRecord, View, key};
+use crate::wire::{
+    Change, Command, Kind, MachineType, MachineTypes, Priority, Report, ReportTask, Submission,
+    TaskState, Txn, Why,
+};
 
 /// Two machine types.
 pub fn types() -> Vec<MachineType> {
@@ -37,3 +51,186 @@
         deadline_s: None,
     }
 }
+
+/// A state service in memory.
+#[derive(Default)]
+pub struct FakeStore {
+    pub revision: u64,
+    pub keys: BTreeMap<String, (Box<RawValue>, u64)>,
+}
+
+impl FakeStore {
+    /// Applies a transaction as the service would.
+    pub fn apply(&mut self, txn: &Txn) -> TxnOutcome {
+        let stamp = |key: &str| self.keys.get(key).map_or(0, |(_, v)| *v);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| stamp(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return TxnOutcome::Conflict(failed);
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    self.keys
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Change::Delete { key } => {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        TxnOutcome::Applied(self.revision)
+    }
+
+    /// Puts a value under a key.
+    pub fn put(&mut self, key: String, value: &impl serde::Serialize) -> u64 {
+        let value = to_raw_value(value).unwrap();
+        self.revision += 1;
+        self.keys.insert(key, (value, self.revision));
+        self.revision
+    }
+
+    /// Accepts a job.
+    pub fn submit(&mut self, spec: &Submission) {
+        self.put(key::job(&spec.id), spec);
+    }
+
+    /// Everything, as a controller that reads it now sees it.
+    pub fn view(&self) -> View {
+        let mut view = View::default();
+        for (key, (value, version)) in &self.keys {
+            view.apply(key, Some(value), *version);
+        }
+        view.revision = self.revision;
+        view
+    }
+
+    /// Takes the office for a new leader.
+    pub fn elect(&mut self, host: &str, now: Time) -> Lead {
+        let record = LeaderRecord {
+            host: host.into(),
+            incarnation: 1,
+        };
+        let token = self.put(key::leader(), &record);
+        let config = Rc::new(crate::config::tests::sample());
+        let expected = Rc::new(RefCell::new(Expected::new(3.0, 120.0, now)));
+        Lead::begin(config, token, Rc::new(types()), &self.view(), expected, now)
+    }
+
+    /// Lets a leader place and write until it has nothing more to write at `now`.
+    pub fn settle(&mut self, lead: &mut Lead, now: Time) {
+        lead.plan(now);
+        while let Some(txn) = lead.next_txn(now) {
+            let outcome = self.apply(&txn);
+            assert_ne!(lead.txn_done(outcome, now), AfterTxn::Lost);
+        }
+    }
+
+    /// What is stored of a job's end.
+    pub fn end(&self, id: &str) -> Option<End> {
+        self.view().jobs.get(id)?.end.map(|e| e.end)
+    }
+}
+
+/// A worker that does as the protocol says.
+pub struct FakeWorker {
+    pub report: Report,
+}
+
+impl FakeWorker {
+    /// A worker on a machine of a type.
+    pub fn new(machine: &str, type_name: &str, zone: &str) -> Self {
+        FakeWorker {
+            report: Report {
+                machine: machine.into(),
+                addr: "127.0.0.1:9".into(),
+                type_name: type_name.into(),
+                zone: zone.into(),
+                spot: false,
+                session: 1,
+                seq: 0,
+                token: 0,
+                notice_s: None,
+                tasks: Vec::new(),
+            },
+        }
+    }
+
+    /// The next report.
+    pub fn next(&mut self) -> Report {
+        self.report.seq += 1;
+        self.report.clone()
+    }
+
+    /// Carries out commands, unless their token is an old one.
+    pub fn execute(&mut self, token: u64, commands: &[Command]) {
+        if token < self.report.token {
+            return;
+        }
+        self.report.token = token;
+        let tasks = &mut self.report.tasks;
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    if !tasks
+                        .iter()
+                        .any(|t| t.task == *task && t.attempt == *attempt)
+                    {
+                        tasks.push(ReportTask {
+                            task: task.clone(),
+                            attempt: *attempt,
+                            state: TaskState::Running,
+                            why: None,
+                            saved: None,
+                        });
+                    }
+                }
+                Command::Stop { task, attempt, .. } => {
+                    for t in tasks
+                        .iter_mut()
+                        .filter(|t| t.task == *task && t.attempt == *attempt)
+                    {
+                        t.state = TaskState::Exited;
+                        t.why.get_or_insert(Why::Stopped);
+                    }
+                }
+                Command::Forget { task, attempt } => tasks.retain(|t| {
+                    t.task != *task || t.attempt != *attempt || t.state != TaskState::Exited
+                }),
+            }
+        }
+    }
+
+    /// Reports to a leader and carries out its answer; returns the commands.
+    pub fn checkin(&mut self, lead: &mut Lead, now: Time) -> Vec<Command> {
+        let report = self.next();
+        let mut commands = lead.on_report(&report, Source::Checkin, now);
+        lead.answer_commands(&report, &mut commands);
+        self.execute(lead.token, &commands);
+        commands
+    }
+
+    /// Ends a task for a reason.
+    pub fn end(&mut self, task: &str, why: Why) {
+        for t in self.report.tasks.iter_mut().filter(|t| t.task == task) {
+            t.state = TaskState::Exited;
+            t.why = Some(why);
+        }
+    }
+
+    /// Names of the tasks that have not exited.
+    pub fn running(&self) -> Vec<String> {
+        let alive = |t: &&ReportTask| t.state != TaskState::Exited;
+        self.report
+            .tasks
+            .iter()
+            .filter(alive)
+            .map(|t| t.task.clone())
+            .collect()
+    }
+}
