--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -5,7 +5,7 @@
 
 use crate::book::{JobIx, MachineIx, amount};
 use crate::expect::{Mean, class_name};
-use crate::fleet::Role;
+use crate::fleet::{Machine, Role};
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
 use crate::rt::Time;
@@ -35,8 +35,9 @@
 
     /// The run time to reckon with; the first few that are seen are the shortest ones.
     fn run_s(&self) -> f64 {
-        let seen = self.run_s.get().filter(|_| self.run_s.seen() >= RUNS_MIN);
-        seen.or(self.estimate_s.get()).unwrap_or(1.0).max(1.0)
+        let expected = self.estimate_s.get().unwrap_or(1.0);
+        let (run_s, seen) = (self.run_s.get().unwrap_or(0.0), self.run_s.seen());
+        ((run_s * seen + expected * RUNS_MIN) / (seen + RUNS_MIN)).max(1.0)
     }
 }
 
@@ -104,7 +105,7 @@
 const BACKLOG_BOOTS: f64 = 2.0;
 /// Pauses of a pool that refused, in boot times: the first and the longest.
 const REFUSED_BOOTS: f64 = 0.3;
-const REFUSED_BOOTS_MAX: f64 = 1.5;
+const REFUSED_BOOTS_MAX: f64 = 0.8;
 /// Machines rented with one request, as the protocol says.
 const RENT_MAX: u32 = 50;
 /// Machines returned with one request, as the protocol says.
@@ -117,7 +118,7 @@
 const BACKLOG_SHARE: f64 = 0.5;
 /// About how many of the last jobs of a class make its means.
 const JOBS_KEPT: f64 = 40.0;
-/// Run times to be seen before they count for more than the owners' estimates.
+/// The owners' estimates count for as much as so many run times seen.
 const RUNS_MIN: f64 = 20.0;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
@@ -157,6 +158,10 @@
     price: f64,
     used: f64,
     up: bool,
+    /// Large tasks, or small ones, are on it.
+    has_large: bool,
+    has_small: bool,
+    /// Meant for large work, once taken.
     large: bool,
     taken: bool,
 }
@@ -336,16 +341,17 @@
             };
             if unit.taken {
                 m.draining = false;
-                let role = if unit.large {
+                // Small tasks on a machine that is wanted for large work run out there.
+                m.role = if unit.large {
                     Role::Large
                 } else {
                     Role::Shared
                 };
-                // A machine changes what it is kept for only while it is empty, unless it is
-                // opened for all.
-                if m.is_empty() || role == Role::Shared {
-                    m.role = role;
-                }
+            }
+        }
+        for class in classes.iter().filter(|c| c.pending > 0.0) {
+            if self.is_large_class(class) {
+                self.make_room(class, &units, now);
             }
         }
         self.let_go(&units, now);
@@ -447,7 +453,9 @@
             // Nothing rented now would be up in time: machines must be there before the work.
             let ratio = self.config.tunables.spare_ratio;
             if run_s >= boot_s {
-                full = needed + ratio * rate * boot_s;
+                // Beyond what is usual, machines that come free are enough of a reserve.
+                let usual = level + (level * class.job_tasks()).sqrt();
+                full = needed.max((needed + ratio * rate * boot_s).min(usual));
                 lean = full;
             } else {
                 full = full.max(level + ratio * (level * class.job_tasks()).sqrt());
@@ -481,7 +489,9 @@
                     price: self.unit_price(type_ix, m.spot),
                     used: m.used.largest_share(capacity),
                     up: m.is_up(),
-                    large: m.role == Role::Large && !m.is_empty(),
+                    has_large: m.has_large(t.large_share),
+                    has_small: !m.is_empty() && !m.has_large(t.large_share),
+                    large: false,
                     taken: false,
                 })
             })
@@ -519,31 +529,20 @@
             .map(|(t, spot)| self.unit_price(*t, *spot))
             .fold(f64::INFINITY, f64::min)
             * CHEAP;
-        for unit in units.iter_mut() {
+        let suits = |unit: &Unit| {
+            kinds.contains(&(unit.type_ix, unit.spot))
+                && spec.zone.as_ref().is_none_or(|z| **z == *unit.zone)
+                && (!unit.taken || unit.large == large_class)
+        };
+        let take_from = |unit: &mut Unit, left: &mut Want| {
             let need = if unit.price <= cheap {
                 left.full
             } else {
                 left.lean
             };
-            if need <= 1e-6 {
-                continue;
-            }
-            if !kinds.contains(&(unit.type_ix, unit.spot))
-                || spec.zone.as_ref().is_some_and(|z| **z != *unit.zone)
-            {
-                continue;
-            }
-            let large = self.is_large_on(class.amount, unit.type_ix);
-            if unit.taken && unit.large != large_class {
-                continue;
-            }
             let fits = tasks_that_fit(class.amount, unit.room);
-            if fits < 1.0 {
-                continue;
-            }
-            // A machine that is busy with small tasks is not there for large ones.
-            if large && !unit.taken && unit.used > 0.0 && !unit.large {
-                continue;
+            if need <= 1e-6 || fits < 1.0 {
+                return;
             }
             let take = fits.min(need);
             unit.room = unit.room.minus(class.amount.times(take));
@@ -551,6 +550,24 @@
             unit.large = large_class;
             left.full -= take;
             left.lean -= take;
+        };
+        // Machines that do such work already come first, then free ones.
+        for doing in [true, false] {
+            for unit in units.iter_mut().filter(|u| suits(u)) {
+                let own = if large_class {
+                    unit.has_large
+                } else {
+                    unit.has_small
+                };
+                let others = if large_class {
+                    unit.has_small
+                } else {
+                    unit.has_large && unit.used > self.config.tunables.large_share
+                };
+                if own == doing && !others {
+                    take_from(unit, &mut left);
+                }
+            }
         }
         loop {
             let (cheap_only, need) = if left.full > 1e-6 && left.full > left.lean {
@@ -567,6 +584,16 @@
                     left.full = left.lean;
                     continue;
                 }
+                if large_class {
+                    // Nothing more to be had: the least busy machines of small work turn.
+                    let mut order: Vec<usize> = (0..units.len()).collect();
+                    order.sort_by(|a, b| units[*a].used.total_cmp(&units[*b].used));
+                    for at in order {
+                        if suits(&units[at]) && units[at].has_small {
+                            take_from(&mut units[at], &mut left);
+                        }
+                    }
+                }
                 return;
             };
             let machines = (need / per_machine).ceil().min(f64::from(RENT_MAX));
@@ -588,6 +615,8 @@
                     price: self.unit_price(pool.type_ix, pool.spot),
                     used: 0.0,
                     up: false,
+                    has_large: false,
+                    has_small: false,
                     large: large_class,
                     taken: true,
                 });
@@ -597,6 +626,46 @@
         }
     }
 
+    /// Stops small tasks of lower priority where large work waits and no machine can be had.
+    fn make_room(&mut self, class: &Class, units: &[Unit], now: Time) {
+        let ready = units
+            .iter()
+            .filter(|u| u.large && u.up && !u.has_small && !u.has_large)
+            .count();
+        let wanted = class.pending as usize;
+        let clearing: Vec<MachineIx> = units
+            .iter()
+            .filter(|u| u.large && u.has_small)
+            .filter_map(|u| u.ix)
+            .take(wanted.saturating_sub(ready))
+            .collect();
+        let mut off = Vec::new();
+        for ix in clearing {
+            let jobs = &self.jobs;
+            let Some(m) = self.fleet.machines.get_mut(&ix) else {
+                continue;
+            };
+            let lower = |job: JobIx| jobs[&job].spec.priority < class.spec.priority;
+            if !m.slots.iter().all(|(k, s)| s.over || lower(k.job)) {
+                continue;
+            }
+            for (key, slot) in m.slots.iter_mut().filter(|(_, s)| !s.over) {
+                if slot.stop.is_some() {
+                    continue;
+                }
+                if slot.is_unsent() {
+                    off.push((ix, *key));
+                } else {
+                    slot.stop = Some(jobs[&key.job].spec.save_s);
+                    m.direct_wanted = true;
+                }
+            }
+        }
+        for (ix, key) in off {
+            self.off(ix, key, now);
+        }
+    }
+
     /// Where machines for `left` tasks of a class cost least, among pools that don't refuse now.
     fn best_pool(&self, class: &Class, left: f64, limit: f64, now: Time) -> Option<(PoolKey, f64)> {
         let mut best: Option<(f64, usize, PoolKey, f64)> = None;
@@ -772,6 +841,19 @@
         })
     }
 
+    /// A machine is gone: where it came from there may be another.
+    pub(crate) fn pool_freed(&mut self, machine: &Machine) {
+        let Some(type_ix) = machine.type_ix else {
+            return;
+        };
+        let key = PoolKey {
+            type_ix,
+            spot: machine.spot,
+            zone: machine.zone.clone(),
+        };
+        self.cloud.pools.remove(&key);
+    }
+
     fn refused(&mut self, rent: &Rent, now: Time) {
         let Some(key) = self.pool_of(rent) else {
             return;
--- a/src/config.rs
+++ b/src/config.rs
@@ -169,7 +169,7 @@
             rho: 0.5,
             weights: [1.0, 2.0, 4.0, 8.0],
             large_share: 0.5,
-            silent_reports: 3.0,
+            silent_reports: 2.5,
             spare_ratio: 0.7,
             idle_ratio: 0.4,
             late_boots: 1.7,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -39,6 +39,13 @@
     pub over: bool,
 }
 
+impl Slot {
+    /// Whether nobody can have launched it.
+    pub fn is_unsent(&self) -> bool {
+        !self.inherited && !self.sent && self.state.is_none()
+    }
+}
+
 /// What a machine is kept for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Role {
@@ -146,6 +153,13 @@
         self.slots.values().all(|s| s.over)
     }
 
+    /// Whether a task that takes more than `share` of it is or may be on it.
+    pub fn has_large(&self, share: f64) -> bool {
+        self.slots
+            .values()
+            .any(|s| !s.over && s.amount.largest_share(self.capacity) > share)
+    }
+
     pub(crate) fn add_slot(&mut self, key: SlotKey, slot: Slot) {
         if !slot.over {
             self.used = self.used.plus(slot.amount);
@@ -633,7 +647,9 @@
         for key in keys {
             self.off(ix, key, now);
         }
-        self.fleet.remove(ix);
+        if let Some(m) = self.fleet.remove(ix) {
+            self.pool_freed(&m);
+        }
         self.changed = true;
     }
 }
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -265,7 +265,7 @@
                 if slot.over {
                     continue;
                 }
-                if !slot.inherited && !slot.sent && slot.state.is_none() {
+                if slot.is_unsent() {
                     off.push((*machine, *key));
                     continue;
                 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -853,6 +853,14 @@
             match election::keep(&self.rt, &self.store, &self.config, &mut tenure).await {
                 Kept::Yes => {
                     self.heard_state();
+                    let now = self.now();
+                    // While the lease was not trusted no report could be answered: the silence
+                    // of the workers was this node's own doing.
+                    if self.acting().is_none()
+                        && let Some(lead) = self.lead.borrow_mut().as_mut()
+                    {
+                        lead.last_report = now;
+                    }
                     self.tenure.set(Some(tenure));
                 }
                 Kept::Unsure => {}
