--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -206,6 +206,13 @@
         }
     }
 
+    /// How long tasks like a job's run.
+    pub(crate) fn run_s(&self, spec: &Submission) -> f64 {
+        self.classes
+            .get(&class_name(spec))
+            .map_or(spec.estimate_s, Class::run_s)
+    }
+
     /// Looks after machines: lost ones, needed ones, unneeded ones.
     pub fn tend(&mut self, now: Time) {
         self.expire(now);
--- a/src/book.rs
+++ b/src/book.rs
@@ -49,7 +49,7 @@
     pub team: usize,
     /// Order of acceptance.
     pub order: u64,
-    /// When this leader came to know it.
+    /// When it came, as far as this controller knows.
     pub since: Time,
     pub chunks: Vec<Chunk>,
     chunk_tasks: u32,
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -179,7 +179,7 @@
             spec.clone(),
             team,
             stored.order,
-            now,
+            stored.seen.unwrap_or(now),
             chunk_tasks,
         );
         job.ended = stored.end.map(|e| e.end);
--- a/src/node.rs
+++ b/src/node.rs
@@ -731,8 +731,11 @@
             };
             match view.apply(key, value, event.version) {
                 Some(view::Change::Job(id)) => {
-                    if let Some(spec) = view.jobs.get(&id).and_then(|j| j.spec.as_ref()) {
+                    if let Some(job) = view.jobs.get_mut(&id)
+                        && let Some(spec) = &job.spec
+                    {
                         self.expected.borrow_mut().note(spec, now);
+                        job.seen.get_or_insert(now);
                     }
                     if let Some(lead) = lead.as_mut()
                         && let Some(job) = view.jobs.get(&id)
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -11,6 +11,10 @@
 use crate::rt::Time;
 use crate::wire::Submission;
 
+/// Run times of tasks vary: so much of the mean is reckoned with.
+const RUN_MARGIN: f64 = 1.3;
+/// Work that missed its objectives is due after so many times the longest of them.
+const OVERDUE: f64 = 3.0;
 /// Report intervals after which a silent machine gets nothing new.
 const QUIET_REPORTS: f64 = 2.0;
 
@@ -88,8 +92,36 @@
             && m.cool_until <= now
     }
 
+    /// When a job must be placed to meet the next of its class's objectives that it still can meet.
+    ///
+    /// Work whose moment has passed makes way for work that can still be in time, but not for
+    /// ever: after a few times its longest objective it is due again.
+    fn due(&self, job: &Job, now: Time) -> Time {
+        let run_s = self.run_s(&job.spec) * RUN_MARGIN;
+        let team = &self.config.deployment.teams[job.team];
+        let guaranteed = team.cpus > 0.0 || team.gpus > 0.0;
+        let mut next = f64::INFINITY;
+        let mut longest: f64 = 0.0;
+        for o in &self.config.deployment.objectives {
+            let Some(within) = o.within_s else { continue };
+            let own = o.class.as_deref() == Some(&job.spec.class);
+            let latest = match o.kind.as_str() {
+                "wait" if own => within,
+                "guarantee" if guaranteed => within,
+                "finished" if own => within - run_s,
+                _ => continue,
+            };
+            longest = longest.max(within);
+            let at = job.since + latest;
+            if at > now {
+                next = next.min(at);
+            }
+        }
+        next.min(job.since + longest * OVERDUE)
+    }
+
     /// The jobs that wait, in the order in which they are placed: by priority, then those within
-    /// their team's guarantee, then by age.
+    /// their team's guarantee, then by what is due first, then by age.
     fn order(&self, now: Time) -> Vec<JobIx> {
         let teams = &self.config.deployment.teams;
         // What each team's earlier unfinished jobs may use of its guarantee.
@@ -119,7 +151,7 @@
                 );
             }
         }
-        let mut order: Vec<(usize, bool, u64, JobIx)> = self
+        let mut order: Vec<(usize, bool, u64, u64, JobIx)> = self
             .active
             .iter()
             .filter_map(|ix| {
@@ -128,6 +160,7 @@
                     (
                         3 - rank(job.spec.priority),
                         !within.get(ix).copied().unwrap_or(false),
+                        (self.due(job, now).max(0.0) * 1000.0) as u64,
                         job.order,
                         *ix,
                     )
@@ -135,7 +168,7 @@
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, ix)| ix).collect()
+        order.into_iter().map(|(.., ix)| ix).collect()
     }
 
     fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) {
--- a/src/view.rs
+++ b/src/view.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use crate::rt::Time;
 use crate::wire::{JobState, JobStatus, MachineType, Submission};
 
 /// Names of keys. The second part leaves room for several tenants.
@@ -96,6 +97,8 @@
     pub spec: Option<Rc<Submission>>,
     /// Revision of its creation: the order of acceptance.
     pub order: u64,
+    /// When this controller came to know it, if it was there at the time.
+    pub seen: Option<Time>,
     pub end: Option<EndRecord>,
     pub chunks: BTreeMap<u32, (ChunkRecord, u64)>,
 }
