Rent dear machines for large work only if cheap ones can't start it in time

Cause: a third of the money at Ermis went to ordinary large machines, while waits were far below what is asked.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -120,6 +120,8 @@
 const JOBS_KEPT: f64 = 40.0;
 /// The owners' estimates count for as much as so many run times seen.
 const RUNS_MIN: f64 = 20.0;
+/// Large work is to start within this part of the time it may wait.
+const WAIT_SHARE: f64 = 0.75;
 /// A leader hears some worker at least so often, in report intervals, or it may be cut off.
 const HEARING_REPORTS: f64 = 0.6;
 /// Names kept of returned machines.
@@ -459,6 +461,9 @@
         };
         let backlog = class.pending * (run_s / horizon).min(1.0);
         let mut lean = level.floor() + backlog;
+        if self.is_large_class(class) && wait.is_finite() {
+            lean = self.large_lean(class, wait, now);
+        }
         let mut full = needed.max(level);
         if tight {
             // Nothing rented now would be up in time: machines must be there before the work.
@@ -479,6 +484,45 @@
         }
     }
 
+    /// How many large tasks need machines even if those are dear: what cheap ones can't start in
+    /// time, one after the other.
+    fn large_lean(&self, class: &Class, wait: f64, now: Time) -> f64 {
+        let name = class_name(&class.spec);
+        let cheapest = self.cheapest(&class.spec);
+        let cheap = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| !m.leaving && !m.suspect && m.notice.is_none())
+            .filter(|m| {
+                m.type_ix.is_some_and(|t| {
+                    let per_machine = tasks_that_fit(class.amount, self.capacity_of(t));
+                    per_machine >= 1.0 && self.unit_price(t, m.spot) <= cheapest * CHEAP
+                })
+            })
+            .count() as f64;
+        let oldest = self
+            .active
+            .iter()
+            .map(|ix| &self.jobs[ix])
+            .filter(|j| class_name(&j.spec) == name)
+            .map(|j| now - j.since)
+            .filter(|age| *age < wait)
+            .fold(0.0, f64::max);
+        let left = (wait * WAIT_SHARE - oldest).max(0.0);
+        let in_time = (cheap * left / class.run_s()).floor();
+        // Cheap machines come first in any case; dear ones are for what is beyond them.
+        let late = (class.pending - in_time).max(0.0);
+        if late > 0.0 { class.bound + late } else { 0.0 }
+    }
+
+    fn cheapest(&self, spec: &Submission) -> f64 {
+        self.kinds(spec)
+            .iter()
+            .map(|(t, spot)| self.unit_price(*t, *spot))
+            .fold(f64::INFINITY, f64::min)
+    }
+
     /// The machines that are there or coming, cheapest and fullest first.
     fn units(&self, now: Time) -> Vec<Unit> {
         let t = &self.config.tunables;
@@ -535,11 +579,7 @@
         let mut left = want;
         let kinds = self.kinds(spec);
         let large_class = self.is_large_class(class);
-        let cheap = kinds
-            .iter()
-            .map(|(t, spot)| self.unit_price(*t, *spot))
-            .fold(f64::INFINITY, f64::min)
-            * CHEAP;
+        let cheap = self.cheapest(spec) * CHEAP;
         let suits = |unit: &Unit| {
             kinds.contains(&(unit.type_ix, unit.spot))
                 && spec.zone.as_ref().is_none_or(|z| **z == *unit.zone)
