--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -102,7 +102,7 @@
 /// Kinds that cost at most this much more than a class's cheapest count as cheap.
 const CHEAP: f64 = 1.6;
 /// Time for a backlog of which nothing is expected, in boot times.
-const BACKLOG_BOOTS: f64 = 2.0;
+const BACKLOG_BOOTS: f64 = 1.0;
 /// Pauses of a pool that refused, in boot times: the first and the longest.
 const REFUSED_BOOTS: f64 = 0.3;
 const REFUSED_BOOTS_MAX: f64 = 0.8;
@@ -115,7 +115,7 @@
 /// Waits shorter than this many boot times can only be kept with machines that are up already.
 const TIGHT_BOOTS: f64 = 1.5;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
-const BACKLOG_SHARE: f64 = 0.5;
+const BACKLOG_SHARE: f64 = 0.25;
 /// About how many of the last jobs of a class make its means.
 const JOBS_KEPT: f64 = 40.0;
 /// The owners' estimates count for as much as so many run times seen.
@@ -452,15 +452,15 @@
         let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks();
         let level = rate * run_s;
         let tight = wait < boot_s * TIGHT_BOOTS;
-        // What waits is to be worked off in good time, beside what is expected to come meanwhile.
+        // What waits is to be worked off in good time.
         let within = if tight { f64::INFINITY } else { wait }.min(finish.unwrap_or(f64::INFINITY));
         let horizon = if within.is_finite() {
             within * BACKLOG_SHARE
         } else {
             boot_s * BACKLOG_BOOTS
         };
-        let backlog = class.pending * (run_s / horizon).min(1.0);
-        let mut lean = level.floor() + backlog;
+        // The level covers what comes meanwhile; a backlog asks for more only once it is larger.
+        let mut lean = level.max(class.pending * (run_s / horizon));
         if self.is_large_class(class) && wait.is_finite() {
             lean = self.large_lean(class, wait, now);
         }
