--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -90,7 +90,6 @@
     list_at: Time,
     types_at: Time,
     sized_at: Time,
-    pub(crate) listed_once: bool,
 }
 
 /// List intervals, as a ratio to the list's lag, and at least as many report intervals.
@@ -139,9 +138,13 @@
             list_at: now,
             types_at: now,
             sized_at: f64::NEG_INFINITY,
-            listed_once: false,
         }
     }
+
+    /// Whether the cloud has confirmed a machine's return.
+    pub(crate) fn is_returned(&self, name: &str) -> bool {
+        self.returned.contains(name)
+    }
 }
 
 /// For how many tasks of a class there should be machines: of the cheapest kinds as many as help
@@ -844,9 +847,6 @@
                 self.cloud.list_after = more
                     .then(|| machines.last().map(|m| m.id.clone()))
                     .flatten();
-                if !more {
-                    self.cloud.listed_once = true;
-                }
                 for listed in &machines {
                     self.on_listed(listed, now);
                 }
@@ -945,7 +945,7 @@
     }
 
     fn on_listed(&mut self, listed: &ListedMachine, now: Time) {
-        if self.cloud.returned.contains(&listed.id) {
+        if self.cloud.is_returned(&listed.id) {
             return;
         }
         let type_ix = self.type_by_name(&listed.type_name);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -257,6 +257,11 @@
     /// worker's own report may carry launches, see [`Lead::answer_commands`]: those are never
     /// carried out late.
     pub fn on_report(&mut self, report: &Report, source: Source, now: Time) -> Vec<Command> {
+        // A report of a machine whose return the cloud has confirmed was held back on its way:
+        // the machine is gone, and entering it anew would only have it returned once more.
+        if self.cloud.is_returned(&report.machine) {
+            return Vec::new();
+        }
         let ix = self.fleet.enter(&report.machine, &report.zone, now);
         let type_ix = self.type_by_name(&report.type_name);
         let capacity = type_ix.map(|t| self.capacity_of(t));
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -554,3 +554,18 @@
     let bound: u32 = lead.jobs.values().map(|j| j.bound).sum();
     assert_eq!(bound, 4);
 }
+
+/// Reports held back by a cut network once brought machines back that the cloud had taken away.
+#[test]
+fn a_late_report_does_not_bring_a_returned_machine_back() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    let late = w.next();
+    let names = vec!["i-1".to_owned()];
+    lead.on_cloud(CloudCall::Delete(names), CloudAnswer::Deleted, 5.0);
+    assert!(lead.fleet.find("i-1").is_none());
+    assert_eq!(lead.on_report(&late, Source::Checkin, 20.0), []);
+    assert!(lead.fleet.find("i-1").is_none());
+}
