--- a/src/api.rs
+++ b/src/api.rs
@@ -63,7 +63,7 @@
         return Some("a task fits no allowed machine type".into());
     }
     let at_once = match job.kind {
-        Kind::Array => 1.0,
+        Kind::Array | Kind::Service => 1.0,
         Kind::Gang => f64::from(job.tasks),
     };
     let over = |each: f64, max: f64| max > 0.0 && each * at_once > max + 1e-6;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,7 +8,7 @@
 use crate::lead::{Lead, job_task, split_task};
 use crate::pricing::Amount;
 use crate::rt::Time;
-use crate::wire::{Command, Report, TaskState, Why};
+use crate::wire::{Command, Kind, Report, TaskState, Why};
 
 /// A task's attempt on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -373,7 +373,8 @@
         if !fenced && known.as_ref().is_none_or(|s| s.inherited) {
             return false;
         }
-        if why == Why::Done {
+        // A service's task is never done: one that exits starts anew.
+        if why == Why::Done && self.jobs[&key.job].spec.kind != Kind::Service {
             m.finish_slot(&key);
             m.errors = 0;
             m.error_jobs.clear();
--- a/src/main.rs
+++ b/src/main.rs
@@ -62,8 +62,8 @@
         Verb::Check { file, script } => {
             let config = Config::load(&file, script.as_deref())?;
             println!("{config:#?}");
-            println!("leader_life_s = {}", config.leader_life_s());
-            println!("off_after_s = {}", config.off_after_s());
+            println!("leader_life_s = {:.2}", config.leader_life_s());
+            println!("off_after_s = {:.2}", config.off_after_s());
             println!("chunk_tasks = {}", config.chunk_tasks());
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -341,7 +341,10 @@
     async fn submit(&self, body: &[u8]) -> Response {
         let job = match parse_submission(body) {
             Ok(job) => job,
-            Err(reason) => return Response::error(400, &reason),
+            Err(reason) => {
+                tracing::debug!("malformed submission: {reason}");
+                return Response::error(400, &reason);
+            }
         };
         if let Some(answer) = self.final_state(&job.id, 200) {
             return answer;
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -569,3 +569,21 @@
     assert_eq!(lead.on_report(&late, Source::Checkin, 20.0), []);
     assert!(lead.fleet.find("i-1").is_none());
 }
+
+#[test]
+fn a_standing_job_is_never_done_and_its_tasks_start_anew() {
+    let mut store = FakeStore::default();
+    let mut standing = job("j-1", 1);
+    standing.kind = Kind::Service;
+    store.submit(&standing);
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    store.settle(&mut lead, 1.0);
+    w.checkin(&mut lead, 2.0);
+    w.end("j-1/0", Why::Done);
+    w.checkin(&mut lead, 3.0);
+    store.settle(&mut lead, 4.0);
+    assert_eq!(store.end("j-1"), None);
+    assert_eq!(starts(&w.checkin(&mut lead, 4.5)), 1);
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -43,6 +43,9 @@
     /// Tasks that run together or not at all.
     #[serde(rename = "group")]
     Gang,
+    /// Independent tasks that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
 }
 
 /// How much a job matters.
