--- a/src/node.rs
+++ b/src/node.rs
@@ -1185,3 +1185,120 @@
         }],
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::{job, types};
+
+    /// A state service on loopback that shows a job, and its end only to a watch that is answered
+    /// after the store's revision was asked for. Asked for the revision in an outage, it refuses.
+    fn scripted_store(rt: &Rt, outage: Rc<Cell<bool>>) -> (SocketAddr, Scope) {
+        let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let addr = listener.addr().unwrap();
+        let asked = Rc::new(Signal::default());
+        let rt2 = rt.clone();
+        let handler = Rc::new(move |request: Request| {
+            let (asked, rt, outage) = (asked.clone(), rt2.clone(), outage.clone());
+            Box::pin(async move {
+                let answer = |status, text: String| Response {
+                    status,
+                    body: text.into_bytes(),
+                    retry_after: None,
+                };
+                let path = request.path;
+                if outage.get() {
+                    return answer(503, "{}".into());
+                }
+                if path.starts_with("/keys?") {
+                    let spec = serde_json::to_string(&job("j-1", 1)).unwrap();
+                    let types = serde_json::to_string(&types()).unwrap();
+                    return answer(
+                        200,
+                        format!(
+                            r#"{{"Pairs":[{{"K":"{}","V":{spec},"Stamp":4}},
+                            {{"K":"{}","V":{types},"Stamp":5}}],"Truncated":false,"Epoch":5}}"#,
+                            key::job("j-1"),
+                            key::types()
+                        ),
+                    );
+                }
+                if path.ends_with(&key::nothing()) {
+                    asked.set();
+                    return answer(404, r#"{"Epoch":7}"#.into());
+                }
+                if path.contains("After=5&") {
+                    asked.raised().await;
+                    return answer(
+                        200,
+                        format!(
+                            r#"{{"Epoch":7,"News":[{{"Put":"{}","V":{{"end":"done","done":1}},"Stamp":7}}]}}"#,
+                            key::end("j-1")
+                        ),
+                    );
+                }
+                // A watch for what never comes.
+                rt.sleep(WATCH_S).await;
+                answer(503, "{}".into())
+            }) as _
+        });
+        let scope = Scope::new(rt);
+        let limits = ServerLimits {
+            connections: 16,
+            request_s: 5.0,
+            idle_s: 60.0,
+        };
+        scope.spawn(serve(rt.clone(), listener, limits, handler));
+        (addr, scope)
+    }
+
+    fn status_of(answer: &Response) -> (u16, String) {
+        let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        let state = value["Status"].as_str().unwrap_or_default().to_owned();
+        (answer.status, state)
+    }
+
+    /// A poll on a follower straight after another node said "done" must not show anything older.
+    #[test]
+    fn a_follower_answers_only_what_is_as_new_as_the_question() {
+        let finished = Rc::new(Cell::new(false));
+        let end = finished.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            let outage = Rc::new(Cell::new(false));
+            let (addr, peers) = scripted_store(rt, outage.clone());
+            let mut config = crate::config::tests::sample();
+            config.services.state = addr;
+            let node = Rc::new(Node::new(rt, Rc::new(config)));
+            let root = Scope::new(rt);
+            let rt = rt.clone();
+            root.spawn(node.clone().follow_duty());
+            root.spawn(node.clone().barrier_duty());
+            root.spawn(async move {
+                let _peers = peers;
+                while !node.loaded.get() {
+                    node.moved.next().await;
+                }
+                // The view shows a job that waits; nobody is told so.
+                let seen = node.view.borrow().jobs["j-1"].status("j-1").state;
+                assert_eq!(seen, wire::JobState::Queued);
+                assert_eq!(
+                    status_of(&node.query("j-1").await),
+                    (200, "done".to_owned())
+                );
+                assert_eq!(node.query("j-2").await.status, 404);
+                let resubmitted = serde_json::to_vec(&job("j-1", 1)).unwrap();
+                let again = node.submit(&resubmitted).await;
+                assert_eq!(status_of(&again), (200, "done".to_owned()));
+                // When the store can't be asked, nothing is known but what is final.
+                outage.set(true);
+                assert_eq!(node.query("j-2").await.status, 503);
+                assert_eq!(node.query("j-1").await.status, 200);
+                end.set(true);
+                rt.stop();
+            });
+            Ok(root)
+        })
+        .unwrap();
+        assert!(finished.get());
+    }
+}
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -51,6 +51,7 @@
     scheduler: Scheduler<()>,
     clock: SteadyClock,
     timers: RefCell<Timers>,
+    over: Cell<bool>,
 }
 
 /// Handle to the runtime, cheap to clone.
@@ -68,7 +69,7 @@
 
 impl Rt {
     /// Makes the loop, hands its handle to `setup`, which starts the first routines, and serves until
-    /// an error of the loop itself.
+    /// [`Rt::stop`] or an error of the loop itself.
     pub fn run<E: From<calloop::Error>>(
         setup: impl FnOnce(&Rt) -> Result<Scope, E>,
     ) -> Result<(), E> {
@@ -83,13 +84,20 @@
             scheduler,
             clock: SteadyClock::start(),
             timers: RefCell::default(),
+            over: Cell::new(false),
         }));
         let _root = setup(&rt)?;
-        loop {
+        while !rt.0.over.get() {
             let wait = rt.until_next_timer();
             event_loop.dispatch(wait, &mut ())?;
             rt.fire_timers();
         }
+        Ok(())
+    }
+
+    /// Ends the loop, and with it all routines, after the present turn.
+    pub fn stop(&self) {
+        self.0.over.set(true);
     }
 
     fn until_next_timer(&self) -> Option<Duration> {
@@ -272,6 +280,11 @@
 }
 
 impl Listener {
+    /// Where it listens.
+    pub fn addr(&mut self) -> io::Result<SocketAddr> {
+        self.io.get_mut().local_addr()
+    }
+
     /// The next connection.
     pub async fn accept(&mut self) -> io::Result<Stream> {
         loop {
