--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -153,6 +153,8 @@
 struct Want {
     full: f64,
     lean: f64,
+    /// As `lean`, but for machines still to be rented: what they will find when they are up.
+    rent: f64,
 }
 
 /// A machine in the eyes of the sizing: there, coming, or to be rented.
@@ -464,8 +466,11 @@
         };
         // The level covers what comes meanwhile; a backlog asks for more only once it is larger.
         let mut lean = level.max(class.pending * (run_s / horizon));
+        let found = class.pending + (level - class.bound) / run_s * boot_s;
+        let mut rent = level.max(found * (run_s / horizon)).min(lean);
         if self.is_large_class(class) && wait.is_finite() {
             lean = self.large_lean(class, wait, now);
+            rent = lean;
         }
         let mut full = needed.max(level);
         if tight {
@@ -476,6 +481,7 @@
                 let usual = level + (level * class.job_tasks()).sqrt();
                 full = needed.max((needed + ratio * rate * boot_s).min(usual));
                 lean = full;
+                rent = full;
             } else {
                 full = full.max(level + ratio * (level * class.job_tasks()).sqrt());
             }
@@ -484,6 +490,7 @@
             full: full.ceil(),
             // Never nothing: what waits must run some time, however little it is.
             lean: lean.round().max(needed.min(1.0)),
+            rent: rent.round().max(needed.min(1.0)),
         }
     }
 
@@ -604,6 +611,7 @@
             unit.large = large_class;
             left.full -= take;
             left.lean -= take;
+            left.rent -= take;
         };
         // Machines that do such work already come first, then free ones.
         for doing in [true, false] {
@@ -627,7 +635,7 @@
             let (cheap_only, need) = if left.full > 1e-6 && left.full > left.lean {
                 (true, left.full)
             } else {
-                (false, left.lean)
+                (false, left.lean.min(left.rent))
             };
             if need <= 1e-6 {
                 return;
@@ -676,6 +684,7 @@
                 });
                 left.full -= take;
                 left.lean -= take;
+                left.rent -= take;
             }
         }
     }
