A new leader rents nothing before it knows the fleet; spare machines are lent

Also, machines kept for urgent large work are lent to small tasks that make way, and count for large work before more are rented.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -9,7 +9,7 @@
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
 use crate::rt::Time;
-use crate::wire::{ListedMachine, MachineState, MachineType, Rent, Submission};
+use crate::wire::{ListedMachine, MachineState, MachineType, Priority, Rent, Submission};
 
 /// A sort of work: jobs of one class that may use the same machines.
 #[derive(Debug, Clone)]
@@ -90,6 +90,8 @@
     list_at: Time,
     types_at: Time,
     sized_at: Time,
+    /// The list was read to its end in this tenure.
+    listed: bool,
 }
 
 /// List intervals, as a ratio to the list's lag, and at least as many report intervals.
@@ -123,6 +125,8 @@
 const WAIT_SHARE: f64 = 0.75;
 /// A leader hears some worker at least so often, in report intervals, or it may be cut off.
 const HEARING_REPORTS: f64 = 0.6;
+/// Reports of all workers have come after so many intervals of a tenure.
+const SETTLE_REPORTS: f64 = 1.5;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
 
@@ -138,6 +142,7 @@
             list_at: now,
             types_at: now,
             sized_at: f64::NEG_INFINITY,
+            listed: false,
         }
     }
 
@@ -170,6 +175,8 @@
     /// Large tasks, or small ones, are on it.
     has_large: bool,
     has_small: bool,
+    /// The highest priority of what is on it.
+    top: Option<Priority>,
     /// Meant for large work, once taken.
     large: bool,
     taken: bool,
@@ -194,6 +201,8 @@
                 bound: 0.0,
                 spec: spec.clone(),
             });
+        // Large work may have to be made room for: look at once.
+        self.cloud.sized_at = f64::NEG_INFINITY;
         class.job_tasks.add(f64::from(spec.tasks), JOBS_KEPT);
         class.estimate_s.add(spec.estimate_s, JOBS_KEPT);
         let mut mean = |at: usize, value: f64| {
@@ -376,7 +385,7 @@
         if tracing::enabled!(tracing::Level::DEBUG) {
             self.log_fleet();
         }
-        if self.cloud.rents.is_empty() {
+        if self.cloud.rents.is_empty() && self.knows_fleet(now) {
             for ((pool, role), count) in rents {
                 let mut left = count;
                 while left > 0 {
@@ -397,6 +406,14 @@
         }
     }
 
+    /// Whether a new leader knows well enough what is there to rent more: it once rented a second
+    /// fleet before it had heard of the first.
+    fn knows_fleet(&self, now: Time) -> bool {
+        let d = &self.config.deployment;
+        let settle_s = (d.workers.report_s * SETTLE_REPORTS).max(d.cloud.list_lag_s);
+        self.cloud.listed && (self.fleet.machines.is_empty() || now - self.began >= settle_s)
+    }
+
     /// How much of which kind is there and used.
     fn log_fleet(&self) {
         let mut kinds: BTreeMap<(usize, bool), [f64; 4]> = BTreeMap::new();
@@ -430,6 +447,23 @@
         kinds
     }
 
+    /// Below which priority jobs may borrow machines of a type that are kept for large work: those
+    /// that all such work may stop. None while large work waits for such machines.
+    pub(crate) fn lend_below(&self, type_ix: usize) -> Option<Priority> {
+        let t = &self.types[type_ix];
+        let large =
+            |spec: &Submission| type_allowed(spec, t) && self.is_large_on(amount(spec), type_ix);
+        let waits = self.active.iter().any(|ix| large(&self.jobs[ix].spec));
+        if waits {
+            return None;
+        }
+        self.classes
+            .values()
+            .filter(|c| large(&c.spec))
+            .map(|c| c.spec.priority)
+            .min()
+    }
+
     fn is_large_on(&self, amount: Amount, type_ix: usize) -> bool {
         amount.largest_share(self.capacity_of(type_ix)) > self.config.tunables.large_share
     }
@@ -556,6 +590,12 @@
                     up: m.is_up(),
                     has_large: m.has_large(t.large_share),
                     has_small: !m.is_empty() && !m.has_large(t.large_share),
+                    top: m
+                        .slots
+                        .iter()
+                        .filter(|(_, slot)| !slot.over)
+                        .map(|(key, _)| self.jobs[&key.job].spec.priority)
+                        .max(),
                     large: false,
                     taken: false,
                 })
@@ -613,22 +653,18 @@
             left.lean -= take;
             left.rent -= take;
         };
-        // Machines that do such work already come first, then free ones.
-        for doing in [true, false] {
-            for unit in units.iter_mut().filter(|u| suits(u)) {
-                let own = if large_class {
-                    unit.has_large
-                } else {
-                    unit.has_small
-                };
-                let others = if large_class {
-                    unit.has_small
-                } else {
-                    unit.has_large && unit.used > self.config.tunables.large_share
-                };
-                if own == doing && !others {
-                    take_from(unit, &mut left);
-                }
+        // Machines that do such work already come first, then free ones, then, for large work,
+        // those where small tasks would make way.
+        let rank = |u: &Unit| match (large_class, u.has_large, u.has_small) {
+            (true, true, _) | (false, false, true) => 0,
+            (_, false, false) => 1,
+            (true, false, true) if u.top < Some(spec.priority) => 2,
+            (false, true, _) if u.used <= self.config.tunables.large_share => 1,
+            _ => u8::MAX,
+        };
+        for pass in 0..3 {
+            for unit in units.iter_mut().filter(|u| suits(u) && rank(u) == pass) {
+                take_from(unit, &mut left);
             }
         }
         loop {
@@ -679,6 +715,7 @@
                     up: false,
                     has_large: false,
                     has_small: false,
+                    top: None,
                     large: large_class,
                     taken: true,
                 });
@@ -859,6 +896,9 @@
                 for listed in &machines {
                     self.on_listed(listed, now);
                 }
+                if !more {
+                    self.cloud.listed = true;
+                }
             }
             (CloudCall::List { .. }, _) => self.cloud.list_after = None,
             (CloudCall::Rent(rent, role), CloudAnswer::Rented(names)) => {
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -587,3 +587,39 @@
     assert_eq!(store.end("j-1"), None);
     assert_eq!(starts(&w.checkin(&mut lead, 4.5)), 1);
 }
+
+/// A new leader once rented a second fleet before it had heard of the first.
+#[test]
+fn a_new_leader_rents_nothing_before_it_knows_what_is_there() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 40));
+    let mut lead = store.elect("n1", 100.0);
+    let rents = |lead: &mut crate::lead::Lead, now: f64, listed: &str| {
+        lead.tend(now);
+        let mut found = 0;
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(..) => {
+                    found += 1;
+                    CloudAnswer::NoCapacity
+                }
+                CloudCall::List { .. } => {
+                    CloudAnswer::List(serde_json::from_str(listed).unwrap(), false)
+                }
+                _ => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+        found
+    };
+    let machine = r#"[{"Uid":"i-1","Addr":"127.0.0.1:9","Rig":"big","Yard":"north","Loaner":false,
+        "Status":"running","HeldS":300.0}]"#;
+    assert_eq!(rents(&mut lead, 100.0, machine), 0);
+    assert_eq!(rents(&mut lead, 101.0, machine), 0);
+    assert!(rents(&mut lead, 106.0, machine) > 0);
+
+    // With nothing there at all, there is nothing to wait for.
+    let mut lead = store.elect("n2", 200.0);
+    assert_eq!(rents(&mut lead, 200.0, "[]"), 0);
+    assert!(rents(&mut lead, 201.0, "[]") > 0);
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::lead::Lead;
 use crate::pricing::{Amount, Candidate};
 use crate::rt::Time;
-use crate::wire::Submission;
+use crate::wire::{Priority, Submission};
 
 /// Run times of tasks vary: so much of the mean is reckoned with.
 const RUN_MARGIN: f64 = 1.3;
@@ -25,6 +25,8 @@
     spot: bool,
     type_ix: usize,
     role: Role,
+    /// Jobs below this priority may borrow it although it is kept for large work.
+    lend_below: Option<Priority>,
     /// What a CPU costs there.
     cost: f64,
     now: Candidate,
@@ -39,6 +41,9 @@
         if !std::mem::take(&mut self.changed) || self.active.is_empty() {
             return;
         }
+        let lend: Vec<Option<Priority>> = (0..self.types.len())
+            .map(|type_ix| self.lend_below(type_ix))
+            .collect();
         let mut places: Vec<Place> = self
             .fleet
             .machines
@@ -51,6 +56,11 @@
                     spot: m.spot,
                     type_ix: m.type_ix?,
                     role: m.role,
+                    lend_below: lend
+                        .get(m.type_ix?)
+                        .copied()
+                        .flatten()
+                        .filter(|_| m.surplus_since.is_none()),
                     cost: self.unit_price(m.type_ix?, m.spot),
                     now: Candidate {
                         capacity: m.capacity,
@@ -274,6 +284,15 @@
         places: &[Place],
     ) -> Option<(usize, f64)> {
         let fits = |c: &Candidate| amount.fits(c.capacity.minus(c.used));
+        // Borrowed machines come last: what runs there may have to make way.
+        let large =
+            |c: &Candidate| amount.largest_share(c.capacity) > self.config.tunables.large_share;
+        let own: Vec<(usize, Candidate)> = allowed
+            .iter()
+            .filter(|(at, c)| fits(c) && (places[*at].role == Role::Shared || large(c)))
+            .copied()
+            .collect();
+        let allowed = if own.is_empty() { allowed } else { &own };
         let cheapest = allowed
             .iter()
             .filter(|(_, c)| fits(c))
@@ -317,7 +336,8 @@
         // Machines kept for large work are not sliced up by small tasks; large work may also
         // take a shared machine that has room for it.
         let large = amount.largest_share(p.now.capacity) > self.config.tunables.large_share;
-        by_job && (large || p.role == Role::Shared)
+        let lent = p.lend_below.is_some_and(|below| spec.priority < below);
+        by_job && (large || p.role == Role::Shared || lent)
     }
 
     /// In which zones tasks of a job are or may be, those of former attempts included.
