--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::book::{JobIx, MachineIx, amount};
-use crate::expect::{Mean, class_name};
+use crate::expect::{JOBS_KEPT, Mean, class_name};
 use crate::fleet::{Machine, Role};
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
@@ -19,9 +19,10 @@
     amount: Amount,
     /// Tasks of a job.
     job_tasks: Mean,
-    /// Run time of a task as its owner expects it, and as seen.
+    /// Run time of a task as its owner expects it.
     estimate_s: Mean,
-    run_s: Mean,
+    /// Run time to reckon with.
+    run_s: f64,
     shares: [Mean; 3],
     /// Unfinished tasks now.
     pending: f64,
@@ -35,9 +36,7 @@
 
     /// The run time to reckon with; the first few that are seen are the shortest ones.
     fn run_s(&self) -> f64 {
-        let expected = self.estimate_s.get().unwrap_or(1.0);
-        let (run_s, seen) = (self.run_s.get().unwrap_or(0.0), self.run_s.seen());
-        ((run_s * seen + expected * RUNS_MIN) / (seen + RUNS_MIN)).max(1.0)
+        self.run_s.max(1.0)
     }
 }
 
@@ -117,8 +116,6 @@
 const TIGHT_BOOTS: f64 = 1.5;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
 const BACKLOG_SHARE: f64 = 0.25;
-/// About how many of the last jobs of a class make its means.
-const JOBS_KEPT: f64 = 40.0;
 /// The owners' estimates count for as much as so many run times seen.
 const RUNS_MIN: f64 = 20.0;
 /// Large work is to start within this part of the time it may wait.
@@ -195,7 +192,7 @@
                 amount: a,
                 job_tasks: Mean::default(),
                 estimate_s: Mean::default(),
-                run_s: Mean::default(),
+                run_s: spec.estimate_s,
                 shares: [Mean::default(); 3],
                 pending: 0.0,
                 bound: 0.0,
@@ -219,9 +216,7 @@
     /// A task ran for so long.
     pub(crate) fn note_run(&mut self, ix: JobIx, ran: f64) {
         let name = class_name(&self.jobs[&ix].spec);
-        if let Some(class) = self.classes.get_mut(&name) {
-            class.run_s.add(ran, JOBS_KEPT * class.job_tasks());
-        }
+        self.expected.borrow_mut().note_run(&name, ran);
     }
 
     /// How long tasks like a job's run.
@@ -342,6 +337,11 @@
                 class.bound += f64::from(job.bound);
             }
         }
+        for (name, class) in &mut self.classes {
+            let (run_s, seen) = self.expected.borrow().run(name);
+            let expected = class.estimate_s.get().unwrap_or(1.0);
+            class.run_s = (run_s * seen + expected * RUNS_MIN) / (seen + RUNS_MIN);
+        }
         let mut units = self.units(now);
         let mut rents: BTreeMap<(PoolKey, Role), u32> = BTreeMap::new();
         let mut classes: Vec<Class> = self.classes.values().cloned().collect();
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Peer;
+use crate::expect::{Expected, Mean};
 use crate::rt::{Listener, Rt, Scope, Stream, Time};
 
 /// What controllers tell one another.
@@ -18,6 +19,9 @@
     pub state_s: Option<f64>,
     /// Workers seen lately: where they are, for a new leader to call on.
     pub workers: Vec<WorkerSeen>,
+    /// Run times of classes, as seen by this controller.
+    #[serde(default)]
+    pub runs: Vec<(String, Mean)>,
 }
 
 /// A worker as some controller last saw it.
@@ -98,12 +102,25 @@
 }
 
 /// Takes greetings from other controllers.
-pub async fn listen(rt: Rt, mut listener: Listener, known: usize, every_s: f64, peers: Rc<Peers>) {
+pub async fn listen(
+    rt: Rt,
+    mut listener: Listener,
+    known: usize,
+    every_s: f64,
+    peers: Rc<Peers>,
+    expected: Rc<RefCell<Expected>>,
+) {
     let scope = Scope::new(&rt);
     loop {
         match listener.accept().await {
             Ok(stream) if scope.live() < known * LINKS_PER_PEER => {
-                scope.spawn(incoming(rt.clone(), stream, every_s, peers.clone()));
+                scope.spawn(incoming(
+                    rt.clone(),
+                    stream,
+                    every_s,
+                    peers.clone(),
+                    expected.clone(),
+                ));
             }
             Ok(_) => {}
             Err(e) => {
@@ -114,9 +131,16 @@
     }
 }
 
-async fn incoming(rt: Rt, mut stream: Stream, every_s: f64, peers: Rc<Peers>) {
+async fn incoming(
+    rt: Rt,
+    mut stream: Stream,
+    every_s: f64,
+    peers: Rc<Peers>,
+    expected: Rc<RefCell<Expected>>,
+) {
     let patience = every_s * SILENT_INTERVALS;
     while let Ok(Some(greeting)) = rt.timeout(patience, receive(&mut stream)).await {
+        expected.borrow_mut().learn(&greeting.runs);
         peers.note(greeting, rt.now());
     }
 }
@@ -153,6 +177,7 @@
                 addr: "10.0.0.1:9".into(),
                 session: 3,
             }],
+            runs: Vec::new(),
         };
         let frame = encode(&greeting).unwrap();
         let back: Greeting = ciborium::from_reader(&frame[4..]).unwrap();
--- a/src/expect.rs
+++ b/src/expect.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::rt::Time;
 use crate::wire::Submission;
 
@@ -23,8 +25,15 @@
     kept: u64,
     since: Time,
     classes: HashMap<String, VecDeque<(u64, u32)>>,
+    /// Run times of tasks: seen by the leader, told to the others.
+    runs: HashMap<String, Mean>,
+    sizes: HashMap<String, Mean>,
 }
 
+/// About how many of the last jobs of a class make its means.
+pub const JOBS_KEPT: f64 = 40.0;
+/// Classes of which run times are told.
+const CLASSES_TOLD: usize = 64;
 /// Most arrivals counted in one interval.
 const CROWD: u32 = 3;
 
@@ -36,6 +45,8 @@
             kept: (window_s / interval_s).ceil().max(1.0) as u64,
             since: now,
             classes: HashMap::new(),
+            runs: HashMap::new(),
+            sizes: HashMap::new(),
         }
     }
 
@@ -47,6 +58,8 @@
     pub fn note(&mut self, spec: &Submission, now: Time) {
         let at = self.interval(now);
         let kept = self.kept;
+        let size = self.sizes.entry(class_name(spec)).or_default();
+        size.add(f64::from(spec.tasks), JOBS_KEPT);
         let seen = self.classes.entry(class_name(spec)).or_default();
         match seen.back_mut() {
             Some((last, n)) if *last == at => *n = (*n + 1).min(CROWD),
@@ -57,6 +70,43 @@
         }
     }
 
+    /// A task of a class ran for so long.
+    pub fn note_run(&mut self, class: &str, ran: f64) {
+        let kept = JOBS_KEPT * self.job_tasks(class).unwrap_or(1.0);
+        let runs = self.runs.entry(class.to_owned()).or_default();
+        runs.add(ran, kept);
+    }
+
+    /// The mean run time of a class's tasks, and how many it is made of.
+    pub fn run(&self, class: &str) -> (f64, f64) {
+        let mean = self.runs.get(class).copied().unwrap_or_default();
+        (mean.value, mean.seen)
+    }
+
+    /// Tasks of a job of a class, on the mean.
+    pub fn job_tasks(&self, class: &str) -> Option<f64> {
+        self.sizes.get(class).and_then(Mean::get)
+    }
+
+    /// All run times, to tell others.
+    pub fn runs(&self) -> Vec<(String, Mean)> {
+        let mut runs: Vec<_> = self.runs.iter().map(|(k, v)| (k.clone(), *v)).collect();
+        runs.sort_by(|a, b| a.0.cmp(&b.0));
+        runs.truncate(CLASSES_TOLD);
+        runs
+    }
+
+    /// Takes over run times that another controller saw, where it saw more.
+    pub fn learn(&mut self, runs: &[(String, Mean)]) {
+        for (class, mean) in runs {
+            let sound = mean.value.is_finite() && mean.seen.is_finite() && mean.value >= 0.0;
+            let own = self.runs.entry(class.clone()).or_default();
+            if sound && mean.seen > own.seen {
+                *own = *mean;
+            }
+        }
+    }
+
     /// Jobs of a class per second.
     pub fn rate(&self, class: &str, now: Time) -> f64 {
         let Some(seen) = self.classes.get(class) else {
@@ -75,7 +125,7 @@
 }
 
 /// A mean that is plain at first and slowly forgets later.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Mean {
     value: f64,
     seen: f64,
@@ -88,11 +138,6 @@
         self.value += (value - self.value) / self.seen;
     }
 
-    /// How many values count.
-    pub fn seen(&self) -> f64 {
-        self.seen
-    }
-
     /// The mean, if anything was seen.
     pub fn get(&self) -> Option<f64> {
         (self.seen > 0.0).then_some(self.value)
--- a/src/node.rs
+++ b/src/node.rs
@@ -173,6 +173,7 @@
             config.peers.len(),
             every_s,
             node.peers.clone(),
+            node.expected.clone(),
         ));
         for peer in &config.peers {
             let greeter = {
@@ -267,6 +268,7 @@
                 .values()
                 .map(|s| s.worker.clone())
                 .collect(),
+            runs: self.expected.borrow().runs(),
         }
     }
 
