--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -998,7 +998,6 @@
             return;
         }
         let type_ix = self.type_by_name(&listed.type_name);
-        let known = self.fleet.find(&listed.id).is_some();
         let capacity = type_ix.map(|t| self.capacity_of(t)).unwrap_or_default();
         let ix = self.fleet.enter(&listed.id, &listed.zone, now);
         let Some(m) = self.fleet.machines.get_mut(&ix) else {
@@ -1011,9 +1010,8 @@
             m.capacity = capacity;
             m.spot = listed.spot;
         }
-        if !known {
-            m.rented = now - listed.age_s;
-        }
+        // A machine that was first heard of by its own report was rented before that.
+        m.rented = m.rented.min(now - listed.age_s);
         match listed.state {
             MachineState::Booting => {}
             MachineState::Running => {
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -623,3 +623,27 @@
     assert_eq!(rents(&mut lead, 200.0, "[]"), 0);
     assert!(rents(&mut lead, 201.0, "[]") > 0);
 }
+
+/// After each takeover unneeded machines were once kept a minute longer, as if just rented.
+#[test]
+fn a_machine_known_by_its_report_was_rented_when_the_list_says() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n1", 100.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 101.0);
+    let listed = r#"[{"Uid":"i-1","Addr":"127.0.0.1:9","Rig":"small","Yard":"north","Loaner":false,
+        "Status":"running","HeldS":300.0}]"#;
+    let call = CloudCall::List {
+        after: String::new(),
+    };
+    let answer = CloudAnswer::List(serde_json::from_str(listed).unwrap(), false);
+    lead.on_cloud(call, answer, 102.0);
+    let mut gone = Vec::new();
+    for now in 102..125 {
+        w.checkin(&mut lead, f64::from(now));
+        lead.last_report = f64::from(now);
+        lead.tend(f64::from(now));
+        gone.extend(returned(&mut lead, f64::from(now)));
+    }
+    assert!(gone.contains(&"i-1".to_owned()));
+}
