--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -264,12 +264,12 @@
             } else if let Some(h) = m.heard {
                 trusted && now - h > silent_s
             } else if let Some(up_at) = m.listed_running {
-                trusted && now - up_at.max(self.began) > silent_s + w.report_s
+                trusted && now - up_at.max(self.began) > silent_s
             } else if m.listed_at.is_some() || m.type_ix.is_some() {
                 now - m.rented > boot_s * t.lost_boots
             } else {
                 // Known only from a former leader's notes.
-                trusted && now - self.began > silent_s + w.report_s
+                trusted && now - self.began > silent_s
             };
             if gone {
                 lost.push(*ix);
