--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -251,6 +251,7 @@
                     .map(|(at, _)| (at, trial[at]))
                     .collect();
                 let allowed = self.without_failed(ix, allowed, places);
+                let allowed = self.with_image(&spec, amount, allowed, places);
                 let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
                     break;
                 };
@@ -306,6 +307,27 @@
             .or_else(|| self.rule.choose(amount, weight, allowed.iter().copied()))
     }
 
+    /// Only the machines with room that have a gang's image already, if there are any: fetching it
+    /// may take longer than the gang should wait.
+    fn with_image(
+        &self,
+        spec: &Submission,
+        amount: Amount,
+        allowed: Vec<(usize, Candidate)>,
+        places: &[Place],
+    ) -> Vec<(usize, Candidate)> {
+        let has = |at: usize| {
+            let machine = self.fleet.machines.get(&places[at].ix);
+            machine.is_some_and(|m| m.images.iter().any(|i| **i == *spec.image))
+        };
+        let near: Vec<(usize, Candidate)> = allowed
+            .iter()
+            .filter(|(at, c)| amount.fits(c.capacity.minus(c.used)) && has(*at))
+            .copied()
+            .collect();
+        if near.is_empty() { allowed } else { near }
+    }
+
     /// Leaves out machines where the job's tasks failed, if there are others.
     fn without_failed(
         &self,
