--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -501,7 +501,7 @@
                 job.unbind(key.task);
             }
             self.wake_job(key.job);
-            self.on_unbound(key.job, now);
+            self.on_unbound(key.job, key.task, now);
         }
         self.changed = true;
         self.maybe_settle(key.job);
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -279,31 +279,22 @@
     }
 
     /// A task of a job came off its machine without being done.
-    pub(crate) fn on_unbound(&mut self, ix: JobIx, now: Time) {
+    pub(crate) fn on_unbound(&mut self, ix: JobIx, task: u32, now: Time) {
         let job = &self.jobs[&ix];
+        let chunk = job.chunk_of(task);
         if job.is_gang() && job.bound > 0 && job.ended.is_none() {
             // The rest of the attempt can't go on: it ends now and starts anew as a whole.
             self.stop_job(ix, 0.0, now);
         }
-        self.mark_dirty(ix, None, now);
+        self.mark_dirty(ix, chunk, false, now);
     }
 
-    /// Tells that a job's chunks must be written: one of them, or those changed, lazily.
-    fn mark_dirty(&mut self, ix: JobIx, chunk: Option<u32>, now: Time) {
+    /// Tells that a chunk must be written, at once or, if others may join it, a little later.
+    fn mark_dirty(&mut self, ix: JobIx, chunk: u32, at_once: bool, now: Time) {
         let lazy = now + self.config.deployment.workers.report_s * LAZY_WRITE_REPORTS;
-        let job = &self.jobs[&ix];
-        match chunk {
-            Some(chunk) => {
-                self.dirty.insert((ix, chunk), now);
-            }
-            None => {
-                for (at, c) in job.chunks.iter().enumerate() {
-                    if c.ver > c.stored {
-                        self.dirty.entry((ix, at as u32)).or_insert(lazy);
-                    }
-                }
-            }
-        }
+        let due = if at_once { now } else { lazy };
+        let at = self.dirty.entry((ix, chunk)).or_insert(due);
+        *at = at.min(due);
     }
 
     /// A task completed.
@@ -331,7 +322,9 @@
         if job.done == job.spec.tasks {
             self.finish(key.job);
         } else {
-            self.mark_dirty(key.job, None, now);
+            // A gang is done as a whole: only an array comes here.
+            let chunk = job.chunk_of(key.task);
+            self.mark_dirty(key.job, chunk, false, now);
         }
     }
 
@@ -463,7 +456,7 @@
             m.add_slot(key, slot);
         }
         self.slot_added(ix);
-        self.mark_dirty(ix, Some(chunk), now);
+        self.mark_dirty(ix, chunk, true, now);
     }
 
     /// The next transaction to send, if one is due; it stays the same until its outcome is told.
@@ -491,6 +484,8 @@
         let mut flight_ends = Vec::new();
         let mut cleared = Vec::new();
         let mut bytes = 0;
+        let mut too_large = Vec::new();
+        let value_max = (state.value_kb * 1024.0) as usize;
         let mut due: Vec<(Time, (JobIx, u32))> = self
             .dirty
             .iter()
@@ -534,6 +529,12 @@
             });
             let run_key = key::run(&job.id, chunk);
             let change = put(run_key.clone(), &record)?;
+            if value_len(&change) > value_max {
+                // Long names of many machines: some tasks wait, rather than all writes.
+                too_large.push((ix, chunk));
+                self.dirty.remove(&(ix, chunk));
+                continue;
+            }
             bytes += size(&change);
             if bytes > TXN_BYTES {
                 break;
@@ -572,6 +573,9 @@
                 cleared.push(*ix);
             }
         }
+        for (ix, chunk) in too_large {
+            self.unplace(ix, chunk, now);
+        }
         if txn.changes.is_empty() {
             return None;
         }
@@ -587,6 +591,28 @@
         Some(txn)
     }
 
+    /// Takes back the placements of a chunk that are not stored: nobody was told of them.
+    fn unplace(&mut self, ix: JobIx, chunk: u32, now: Time) {
+        tracing::warn!("{}: chunk {chunk} is too large to store", self.jobs[&ix].id);
+        let unstored: Vec<(MachineIx, SlotKey)> = self
+            .fleet
+            .machines
+            .iter()
+            .flat_map(|(m, machine)| machine.slots.iter().map(move |(k, s)| (*m, *k, s)))
+            .filter(|(_, key, slot)| {
+                let job = &self.jobs[&ix];
+                key.job == ix
+                    && job.chunk_of(key.task) == chunk
+                    && slot.is_unsent()
+                    && !job.bind_is_stored(key.task, slot.ver)
+            })
+            .map(|(m, key, _)| (m, key))
+            .collect();
+        for (machine, key) in unstored {
+            self.off(machine, key, now);
+        }
+    }
+
     /// When something lazy is due to be written, if anything is.
     pub fn next_write_at(&self) -> Option<Time> {
         if !self.ends.is_empty() {
@@ -673,7 +699,7 @@
             c.stamp = revision;
             c.stored = ver;
             if c.ver > ver {
-                self.mark_dirty(ix, None, now);
+                self.mark_dirty(ix, chunk, false, now);
             }
         }
         for ix in flight.ends {
@@ -704,6 +730,13 @@
     })
 }
 
+fn value_len(change: &Change) -> usize {
+    match change {
+        Change::Put { value, .. } => value.get().len(),
+        Change::Delete { .. } => 0,
+    }
+}
+
 fn size(change: &Change) -> usize {
     match change {
         Change::Put { key, value, .. } => key.len() * 2 + value.get().len() + 128,
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -647,3 +647,29 @@
     }
     assert!(gone.contains(&"i-1".to_owned()));
 }
+
+/// A value over the store's limit would be refused for ever, and with it all that comes after.
+#[test]
+fn placements_too_large_to_store_are_taken_back() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 140));
+    store.submit(&job("j-2", 1));
+    let mut lead = store.elect("n0", 0.0);
+    for i in 0..36 {
+        let name = format!("i-{i}-{}", "x".repeat(300));
+        let mut w = FakeWorker::new(&name, "small", "north");
+        meet(&mut w, &mut lead, 1.0);
+    }
+    lead.plan(1.0);
+    assert!(lead.jobs.values().any(|j| j.bound == 140));
+    while let Some(txn) = lead.next_txn(1.0) {
+        for change in &txn.changes {
+            let text = serde_json::to_string(change).unwrap();
+            assert!(text.len() < 9 * 1024, "{}", text.len());
+        }
+        let outcome = store.apply(&txn);
+        assert_eq!(lead.txn_done(outcome, 1.0), AfterTxn::Go);
+    }
+    let bound: Vec<u32> = lead.jobs.values().map(|j| j.bound).collect();
+    assert_eq!(bound, [0, 1]);
+}
