--- a/src/rt.rs
+++ b/src/rt.rs
@@ -449,7 +449,7 @@
     }
 }
 
-/// Owner of routines. Dropping it cancels them; `close` also waits until they are gone.
+/// Owner of routines. Dropping it cancels them, and with each of them what it owns itself.
 pub struct Scope {
     rt: Rt,
     shared: Rc<ScopeState>,
@@ -458,7 +458,6 @@
 #[derive(Default)]
 struct ScopeState {
     cancel: Signal,
-    empty: Signal,
     live: Cell<usize>,
 }
 
@@ -482,9 +481,6 @@
                 select(work, cancel).await;
             }
             shared.live.set(shared.live.get() - 1);
-            if shared.live.get() == 0 {
-                shared.empty.set();
-            }
         });
     }
 
@@ -492,14 +488,6 @@
     pub fn live(&self) -> usize {
         self.shared.live.get()
     }
-
-    /// Cancels all routines and waits until the last has gone.
-    pub async fn close(self) {
-        self.shared.cancel.set();
-        while self.live() > 0 {
-            self.shared.empty.take().await;
-        }
-    }
 }
 
 impl Drop for Scope {
@@ -507,3 +495,57 @@
         self.shared.cancel.set();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Tells when it is dropped.
+    struct Guard(Rc<Log>, &'static str);
+
+    #[derive(Default)]
+    struct Log {
+        ended: RefCell<Vec<&'static str>>,
+        more: Signal,
+    }
+
+    impl Drop for Guard {
+        fn drop(&mut self) {
+            self.0.ended.borrow_mut().push(self.1);
+            self.0.more.set();
+        }
+    }
+
+    #[test]
+    fn a_scope_that_ends_takes_its_routines_and_theirs_along() {
+        let ended: Rc<Log> = Rc::default();
+        let seen = ended.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            let (rt, root) = (rt.clone(), Scope::new(rt));
+            let parent = Scope::new(&rt);
+            let started = Rc::new(Signal::default());
+            let (inner_rt, inner_started, log) = (rt.clone(), started.clone(), ended.clone());
+            parent.spawn(async move {
+                let _guard = Guard(log.clone(), "parent");
+                let children = Scope::new(&inner_rt);
+                children.spawn(async move {
+                    let _guard = Guard(log, "child");
+                    inner_started.set();
+                    std::future::pending::<()>().await;
+                });
+                std::future::pending::<()>().await;
+            });
+            root.spawn(async move {
+                started.raised().await;
+                drop(parent);
+                while ended.ended.borrow().len() < 2 {
+                    ended.more.take().await;
+                }
+                rt.stop();
+            });
+            Ok(root)
+        })
+        .unwrap();
+        assert_eq!(*seen.ended.borrow(), ["parent", "child"]);
+    }
+}
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -3,7 +3,7 @@
 
 use crate::autoscale::{CloudAnswer, CloudCall};
 use crate::fleet::{Role, Source};
-use crate::lead::{AfterTxn, TxnOutcome};
+use crate::lead::{AfterTxn, Lead, TxnOutcome};
 use crate::testing::{FakeStore, FakeWorker, job};
 use crate::view::{End, EndRecord, key};
 use crate::wire::{Command, Kind, Priority, Submission, Why};
@@ -22,11 +22,22 @@
 }
 
 /// Lets a worker report until the leader knows that it has seen its token.
-fn meet(worker: &mut FakeWorker, lead: &mut crate::lead::Lead, now: f64) {
+fn meet(worker: &mut FakeWorker, lead: &mut Lead, now: f64) {
     worker.checkin(lead, now);
     worker.checkin(lead, now);
 }
 
+/// A job placed and stored, not yet launched, on a machine whose worker knows the leader.
+fn placed(spec: &Submission) -> (FakeStore, Lead, FakeWorker) {
+    let mut store = FakeStore::default();
+    store.submit(spec);
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    store.settle(&mut lead, 2.0);
+    (store, lead, w)
+}
+
 #[test]
 fn nothing_is_launched_before_its_intent_is_stored() {
     let mut store = FakeStore::default();
@@ -83,12 +94,7 @@
 
 #[test]
 fn a_task_lost_with_the_old_leader_is_placed_anew_once_fenced() {
-    let mut store = FakeStore::default();
-    store.submit(&job("j-1", 1));
-    let mut old = store.elect("n0", 0.0);
-    let mut w = FakeWorker::new("i-1", "small", "north");
-    meet(&mut w, &mut old, 1.0);
-    store.settle(&mut old, 2.0);
+    let (mut store, _old, mut w) = placed(&job("j-1", 1));
 
     let mut new = store.elect("n1", 10.0);
     meet(&mut w, &mut new, 11.0);
@@ -103,12 +109,7 @@
 
 #[test]
 fn an_old_exit_is_reaped_only_after_fencing_and_directs_never_launch() {
-    let mut store = FakeStore::default();
-    store.submit(&job("j-1", 1));
-    let mut old = store.elect("n0", 0.0);
-    let mut w = FakeWorker::new("i-1", "small", "north");
-    meet(&mut w, &mut old, 1.0);
-    store.settle(&mut old, 2.0);
+    let (mut store, mut old, mut w) = placed(&job("j-1", 1));
     w.checkin(&mut old, 2.5);
     w.end("j-1/0", Why::Error);
 
@@ -135,12 +136,7 @@
 #[test]
 fn a_withdrawal_that_races_completion_has_one_outcome() {
     for user_first in [true, false] {
-        let mut store = FakeStore::default();
-        store.submit(&job("j-1", 1));
-        let mut lead = store.elect("n0", 0.0);
-        let mut w = FakeWorker::new("i-1", "small", "north");
-        meet(&mut w, &mut lead, 1.0);
-        store.settle(&mut lead, 2.0);
+        let (mut store, mut lead, mut w) = placed(&job("j-1", 1));
         w.checkin(&mut lead, 2.5);
         w.end("j-1/0", Why::Done);
         w.checkin(&mut lead, 3.0);
@@ -175,12 +171,7 @@
 
 #[test]
 fn withdrawn_tasks_are_stopped_and_never_launched() {
-    let mut store = FakeStore::default();
-    store.submit(&job("j-1", 6));
-    let mut lead = store.elect("n0", 0.0);
-    let mut w = FakeWorker::new("i-1", "small", "north");
-    meet(&mut w, &mut lead, 1.0);
-    store.settle(&mut lead, 2.0);
+    let (mut store, mut lead, mut w) = placed(&job("j-1", 6));
     w.checkin(&mut lead, 2.5);
     assert_eq!(w.running().len(), 4);
     let end = EndRecord {
@@ -398,7 +389,7 @@
 }
 
 /// The names that a leader returns to the cloud next, if it returns any.
-fn returned(lead: &mut crate::lead::Lead, now: f64) -> Vec<String> {
+fn returned(lead: &mut Lead, now: f64) -> Vec<String> {
     while let Some(call) = lead.next_cloud_call(now) {
         match call {
             CloudCall::Delete(names) => return names,
@@ -516,7 +507,7 @@
         view.jobs.get_mut(id).unwrap().seen = Some(seen);
         lead.enter_job(&id.into(), &view.jobs[id], 100.0);
     }
-    let names = |lead: &crate::lead::Lead, now| -> Vec<String> {
+    let names = |lead: &Lead, now| -> Vec<String> {
         let order = lead.order(now);
         order
             .iter()
@@ -594,7 +585,7 @@
     let mut store = FakeStore::default();
     store.submit(&job("j-1", 40));
     let mut lead = store.elect("n1", 100.0);
-    let rents = |lead: &mut crate::lead::Lead, now: f64, listed: &str| {
+    let rents = |lead: &mut Lead, now: f64, listed: &str| {
         lead.tend(now);
         let mut found = 0;
         while let Some(call) = lead.next_cloud_call(now) {
