--- a/src/book.rs
+++ b/src/book.rs
@@ -1,11 +1,12 @@
 //! The leader's book of jobs: which task is where, and what of that is stored.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use crate::pricing::Amount;
 use crate::rt::Time;
-use crate::view::{ChunkRecord, End};
+use crate::runlog::Told;
+use crate::view::End;
 use crate::wire::{Kind, Priority, Submission};
 
 /// A job's place in the book.
@@ -18,27 +19,14 @@
 pub enum Task {
     /// On no machine.
     Pending,
-    /// It may be on this machine; `ver` is the chunk's version that says so.
+    /// It may be on this machine; `told` is the value of the log that says so, 0 if none does yet.
     Bound {
         machine: MachineIx,
         attempt: u64,
-        ver: u32,
+        told: u64,
     },
     /// Completed.
-    Done { ver: u32 },
-}
-
-/// A stretch of a job's tasks that is stored as one value.
-#[derive(Debug)]
-pub struct Chunk {
-    pub tasks: Vec<Task>,
-    /// Highest attempt ever given here.
-    pub attempt: u64,
-    /// The stored value's revision; 0 if there is none.
-    pub stamp: u64,
-    /// Counts changes; `stored` is the last that the state service has.
-    pub ver: u32,
-    pub stored: u32,
+    Done { told: u64 },
 }
 
 /// A job.
@@ -51,8 +39,7 @@
     pub order: u64,
     /// When it came, as far as this controller knows.
     pub since: Time,
-    pub chunks: Vec<Chunk>,
-    chunk_tasks: u32,
+    tasks: Vec<Task>,
     next_fresh: u32,
     again: Vec<u32>,
     pub done: u32,
@@ -73,34 +60,14 @@
 
 impl Job {
     /// A job of which nothing has run.
-    pub fn new(
-        id: Rc<str>,
-        spec: Rc<Submission>,
-        team: usize,
-        order: u64,
-        since: Time,
-        chunk_tasks: u32,
-    ) -> Self {
-        let chunks = (0..spec.tasks.div_ceil(chunk_tasks))
-            .map(|c| {
-                let len = chunk_tasks.min(spec.tasks - c * chunk_tasks);
-                Chunk {
-                    tasks: vec![Task::Pending; len as usize],
-                    attempt: 0,
-                    stamp: 0,
-                    ver: 0,
-                    stored: 0,
-                }
-            })
-            .collect();
+    pub fn new(id: Rc<str>, spec: Rc<Submission>, team: usize, order: u64, since: Time) -> Self {
         Job {
             id,
+            tasks: vec![Task::Pending; spec.tasks as usize],
             spec,
             team,
             order,
             since,
-            chunks,
-            chunk_tasks,
             next_fresh: 0,
             again: Vec::new(),
             done: 0,
@@ -130,19 +97,9 @@
         self.spec.tasks - self.done - self.bound
     }
 
-    /// The chunk of a task.
-    pub fn chunk_of(&self, task: u32) -> u32 {
-        task / self.chunk_tasks
-    }
-
     /// A task's state.
     pub fn task(&self, task: u32) -> Task {
-        self.chunks[self.chunk_of(task) as usize].tasks[(task % self.chunk_tasks) as usize]
-    }
-
-    fn task_mut(&mut self, task: u32) -> &mut Task {
-        let chunk = self.chunk_of(task) as usize;
-        &mut self.chunks[chunk].tasks[(task % self.chunk_tasks) as usize]
+        self.tasks[task as usize]
     }
 
     /// The next pending task, taken off the waiting ones; bind it or give it back.
@@ -167,136 +124,62 @@
         self.again.push(task);
     }
 
-    /// An attempt that no task of the job ever had.
-    pub fn fresh_attempt(&self) -> u64 {
-        self.chunks.iter().map(|c| c.attempt).max().unwrap_or(0) + 1
-    }
-
-    /// Notes that a task is to go to a machine; returns the version that says so.
-    pub fn bind(&mut self, task: u32, machine: MachineIx, attempt: u64) -> u32 {
-        let chunk = self.chunk_of(task) as usize;
-        let chunk = &mut self.chunks[chunk];
-        chunk.ver += 1;
-        chunk.attempt = chunk.attempt.max(attempt);
-        let ver = chunk.ver;
-        *self.task_mut(task) = Task::Bound {
+    /// Notes that a task is to go to a machine, or may be there: `told` by this value of the log.
+    pub fn bind(&mut self, task: u32, machine: MachineIx, attempt: u64, told: u64) {
+        self.tasks[task as usize] = Task::Bound {
             machine,
             attempt,
-            ver,
+            told,
         };
         self.bound += 1;
-        ver
     }
 
     /// Notes that a task is surely off its machine.
     pub fn unbind(&mut self, task: u32) {
         if let Task::Bound { .. } = self.task(task) {
-            *self.task_mut(task) = Task::Pending;
-            let chunk = self.chunk_of(task) as usize;
-            self.chunks[chunk].ver += 1;
+            self.tasks[task as usize] = Task::Pending;
             self.bound -= 1;
             self.again.push(task);
         }
     }
 
-    /// Notes that a task is done.
-    pub fn complete(&mut self, task: u32) {
+    /// Notes that a task is done: `told` by this value of the log.
+    pub fn complete(&mut self, task: u32, told: u64) {
         match self.task(task) {
             Task::Done { .. } => return,
             Task::Bound { .. } => self.bound -= 1,
             Task::Pending => {}
         }
-        let chunk = self.chunk_of(task) as usize;
-        self.chunks[chunk].ver += 1;
-        let ver = self.chunks[chunk].ver;
-        *self.task_mut(task) = Task::Done { ver };
+        self.tasks[task as usize] = Task::Done { told };
         self.done += 1;
     }
 
     /// Whether it is stored that a task is done.
     pub fn done_is_stored(&self, task: u32) -> bool {
-        self.end_stored
-            || match self.task(task) {
-                Task::Done { ver } => self.chunks[self.chunk_of(task) as usize].stored >= ver,
-                _ => false,
-            }
+        self.end_stored || matches!(self.task(task), Task::Done { told } if told > 0)
     }
 
-    /// Whether the binding that `ver` tells of is stored.
-    pub fn bind_is_stored(&self, task: u32, ver: u32) -> bool {
-        self.chunks[self.chunk_of(task) as usize].stored >= ver
+    /// Whether it is stored that this attempt may be on a machine.
+    pub fn bind_is_stored(&self, task: u32, attempt: u64) -> bool {
+        matches!(self.task(task),
+            Task::Bound { attempt: a, told, .. } if a == attempt && told > 0)
     }
 
-    /// The stored form of a chunk.
-    pub fn record(&self, chunk: u32, name: impl Fn(MachineIx) -> (String, String)) -> ChunkRecord {
-        let c = &self.chunks[chunk as usize];
-        let mut record = ChunkRecord {
-            attempt: c.attempt,
-            ..ChunkRecord::default()
-        };
-        let mut places: HashMap<MachineIx, u32> = HashMap::new();
-        for (at, task) in c.tasks.iter().enumerate() {
-            let at = at as u32;
-            match *task {
-                Task::Pending => {}
-                Task::Done { .. } => match record.done.last_mut() {
-                    Some((first, n)) if *first + *n == at => *n += 1,
-                    _ => record.done.push((at, 1)),
-                },
-                Task::Bound {
-                    machine, attempt, ..
-                } => {
-                    let place = *places.entry(machine).or_insert_with(|| {
-                        record.machines.push(name(machine));
-                        record.machines.len() as u32 - 1
-                    });
-                    record.bound.push((at, place, attempt));
-                }
-            }
+    /// A value of the log that tells this of a task is stored.
+    pub fn stored(&mut self, task: u32, what: Told, number: u64) {
+        match (&mut self.tasks[task as usize], what) {
+            (Task::Bound { attempt, told, .. }, Told::Bound(a)) if *attempt == a => *told = number,
+            (Task::Done { told }, Told::Done) => *told = number,
+            _ => {}
         }
-        record
     }
 
-    /// Takes over a chunk as stored; returns the tasks that may be on machines: task, machine's
-    /// name and zone, attempt.
-    pub fn restore(
-        &mut self,
-        chunk: u32,
-        record: &ChunkRecord,
-        stamp: u64,
-    ) -> Vec<(u32, String, String, u64)> {
-        let first = chunk * self.chunk_tasks;
-        let Some(c) = self.chunks.get_mut(chunk as usize) else {
-            return Vec::new();
-        };
-        c.attempt = record.attempt;
-        c.stamp = stamp;
-        let len = c.tasks.len() as u32;
-        for (at, n) in &record.done {
-            for task in *at..at.saturating_add(*n).min(len) {
-                c.tasks[task as usize] = Task::Done { ver: 0 };
-                self.done += 1;
-            }
+    /// Whether a value of the log still tells something of a task that no other does.
+    pub fn needs(&self, task: u32, number: u64) -> bool {
+        match self.task(task) {
+            Task::Pending => false,
+            Task::Bound { told, .. } | Task::Done { told } => told == number,
         }
-        record
-            .bound
-            .iter()
-            .filter(|(at, _, _)| *at < len)
-            .filter_map(|(at, place, attempt)| {
-                let (name, zone) = record.machines.get(*place as usize)?;
-                Some((first + at, name.clone(), zone.clone(), *attempt))
-            })
-            .collect()
-    }
-
-    /// Notes a binding that a former leader stored.
-    pub fn inherit(&mut self, task: u32, machine: MachineIx, attempt: u64) {
-        *self.task_mut(task) = Task::Bound {
-            machine,
-            attempt,
-            ver: 0,
-        };
-        self.bound += 1;
     }
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -424,11 +424,6 @@
         life * (1.0 - DRIFT) - life * MARGIN_OF_LIFE
     }
 
-    /// Most tasks kept in one stored value, so that the fullest still fits.
-    pub fn chunk_tasks(&self) -> u32 {
-        ((self.deployment.state.value_kb * 1024.0 / BYTES_PER_TASK) as u32).max(1)
-    }
-
     /// A team by its name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.deployment.teams.iter().find(|t| t.name == name)
@@ -442,7 +437,6 @@
 const LEASE_LIFE_MIN_S: f64 = 0.1;
 const MARGIN_OF_LEASE: f64 = 0.03;
 const MARGIN_OF_LIFE: f64 = 0.1;
-const BYTES_PER_TASK: f64 = 56.0;
 const SOCKETS_MIN: usize = 16;
 
 fn read(file: &Path) -> Result<String, ConfigError> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -22,8 +22,6 @@
 #[derive(Debug, Clone)]
 pub struct Slot {
     pub amount: Amount,
-    /// Version of the chunk that holds the intent; nothing is launched before it is stored.
-    pub ver: u32,
     /// Bound or seen before this tenure: a former leader may have launched it.
     pub inherited: bool,
     /// As last reported.
@@ -408,7 +406,6 @@
         if !m.slots.contains_key(&key) {
             let stray = Slot {
                 amount,
-                ver: 0,
                 inherited: true,
                 state: None,
                 sent: false,
@@ -542,7 +539,7 @@
                 && !slot.inherited
                 && !slot.sent
                 && job.ended.is_none()
-                && job.bind_is_stored(key.task, slot.ver)
+                && job.bind_is_stored(key.task, key.attempt)
             {
                 slot.sent = true;
                 images.push(job.spec.clone());
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -14,7 +14,8 @@
 use crate::fleet::{Fleet, Slot, SlotKey};
 use crate::pricing::{Amount, Rule};
 use crate::rt::Time;
-use crate::view::{End, EndRecord, JobView, View, key};
+use crate::runlog::{RunLog, Told, Writer};
+use crate::view::{End, EndRecord, JobView, Mark, View, key};
 use crate::wire::{Change, Condition, MachineType, Submission, Txn};
 
 /// The name of a task: its job's id, a slash and its number.
@@ -56,13 +57,25 @@
 
 struct InFlight {
     txn: Rc<Txn>,
-    chunks: Vec<(JobIx, u32, u32)>,
+    /// Values of the log: their numbers, and the tasks they tell of.
+    told: Vec<(u64, TaskTold)>,
+    /// Old values of the log that go.
+    gone: Vec<u64>,
     ends: Vec<JobIx>,
     cleared: Vec<JobIx>,
     /// Whether an earlier copy may have been or may yet be applied.
     in_doubt: bool,
 }
 
+/// The tasks that a value of the log tells of, and what.
+type TaskTold = Vec<(JobIx, u32, Told)>;
+
+/// Tasks of a job that the log doesn't tell of as they are, and when it should at the latest.
+struct Dirty {
+    due: Time,
+    tasks: Vec<u32>,
+}
+
 /// The state of a tenure.
 pub struct Lead {
     pub config: Rc<Config>,
@@ -82,8 +95,12 @@
     pub(crate) cloud: CloudBook,
     /// Something changed that a placement pass should look at.
     pub(crate) changed: bool,
-    /// Chunks to be written, and when at the latest.
-    dirty: BTreeMap<(JobIx, u32), Time>,
+    /// Jobs of which something is to be written.
+    dirty: BTreeMap<JobIx, Dirty>,
+    log: RunLog,
+    /// When a value of the log was last written.
+    logged_at: Time,
+    next_attempt: u64,
     ends: BTreeSet<JobIx>,
     settled: BTreeSet<JobIx>,
     in_flight: Option<InFlight>,
@@ -96,6 +113,12 @@
 pub const LEADER_WRITE_SHARE: f64 = 0.7;
 /// Completions and releases may wait this long, in report intervals, to be written together.
 const LAZY_WRITE_REPORTS: f64 = 0.25;
+/// One write in so many of the leader's is for the log.
+const LOG_WRITES: f64 = 3.0;
+/// Old values of the log cleared away in one transaction.
+const CLEARED_MAX: usize = 4;
+/// Attempts are a token and so many bits of a counter.
+const ATTEMPT_BITS: u32 = 24;
 /// Part of a transaction's size that is used at the most.
 const TXN_BYTES: usize = 48 * 1024;
 /// First pause of a job whose tasks fail on several machines, in report intervals, and the most.
@@ -139,6 +162,9 @@
             cloud: CloudBook::new(now),
             changed: true,
             dirty: BTreeMap::new(),
+            log: RunLog::new(token, view.log.iter().copied()),
+            logged_at: f64::NEG_INFINITY,
+            next_attempt: token << ATTEMPT_BITS,
             ends: BTreeSet::new(),
             settled: BTreeSet::new(),
             in_flight: None,
@@ -173,40 +199,44 @@
             tracing::error!("{id}: team {} is not in the settings", spec.team);
             return;
         };
-        let chunk_tasks = self.config.chunk_tasks();
         let mut job = Job::new(
             id.clone(),
             spec.clone(),
             team,
             stored.order,
             stored.seen.unwrap_or(now),
-            chunk_tasks,
         );
         job.ended = stored.end.map(|e| e.end);
         job.end_stored = stored.end.is_some();
         let ix = self.next_job;
         self.next_job += 1;
         let mut places = Vec::new();
-        for (chunk, (record, stamp)) in &stored.chunks {
-            places.extend(job.restore(*chunk, record, *stamp));
+        for (task, (number, mark)) in &stored.tasks {
+            match mark {
+                Mark::Free => continue,
+                Mark::Done => job.complete(*task, *number),
+                Mark::On { place, attempt } => {
+                    places.push((*task, *number, place.clone(), *attempt));
+                }
+            }
+            self.log.enter(*number, ix, *task);
         }
         let amount = job.amount();
         let ended = job.ended.is_some();
         self.by_id.insert(id.clone(), ix);
         self.jobs.insert(ix, job);
-        for (task, name, zone, attempt) in places {
-            let machine = self.fleet.enter(&name, &zone, now);
+        for (task, number, place, attempt) in places {
+            let machine = self.fleet.enter(&place.machine, &place.zone, now);
             let key = SlotKey {
                 job: ix,
                 task,
                 attempt,
             };
             if let Some(job) = self.jobs.get_mut(&ix) {
-                job.inherit(task, machine, attempt);
+                job.bind(task, machine, attempt, number);
             }
             let slot = Slot {
                 amount,
-                ver: 0,
                 inherited: true,
                 state: None,
                 sent: false,
@@ -281,20 +311,28 @@
     /// A task of a job came off its machine without being done.
     pub(crate) fn on_unbound(&mut self, ix: JobIx, task: u32, now: Time) {
         let job = &self.jobs[&ix];
-        let chunk = job.chunk_of(task);
         if job.is_gang() && job.bound > 0 && job.ended.is_none() {
             // The rest of the attempt can't go on: it ends now and starts anew as a whole.
             self.stop_job(ix, 0.0, now);
         }
-        self.mark_dirty(ix, chunk, false, now);
+        self.mark_dirty(ix, task, false, now);
     }
 
-    /// Tells that a chunk must be written, at once or, if others may join it, a little later.
-    fn mark_dirty(&mut self, ix: JobIx, chunk: u32, at_once: bool, now: Time) {
-        let lazy = now + self.config.deployment.workers.report_s * LAZY_WRITE_REPORTS;
-        let due = if at_once { now } else { lazy };
-        let at = self.dirty.entry((ix, chunk)).or_insert(due);
-        *at = at.min(due);
+    /// Tells that a task is no longer as the log says: to be written at once or, if others may join
+    /// it, a little later.
+    fn mark_dirty(&mut self, ix: JobIx, task: u32, at_once: bool, now: Time) {
+        let report_s = self.config.deployment.workers.report_s;
+        let due = if at_once {
+            // So many values a second are enough: each takes in what came meanwhile.
+            let gap = LOG_WRITES / (self.config.deployment.state.write_rps * LEADER_WRITE_SHARE);
+            now.max(self.logged_at + gap)
+        } else {
+            now + report_s * LAZY_WRITE_REPORTS
+        };
+        let tasks = Vec::new();
+        let dirty = self.dirty.entry(ix).or_insert(Dirty { due, tasks });
+        dirty.due = dirty.due.min(due);
+        dirty.tasks.push(task);
     }
 
     /// A task completed.
@@ -308,10 +346,10 @@
         if job.is_gang() {
             // A gang completes together.
             for task in 0..job.spec.tasks {
-                job.complete(task);
+                job.complete(task, 0);
             }
         } else {
-            job.complete(key.task);
+            job.complete(key.task, 0);
         }
         job.failed_on.clear();
         job.backoff_s = 0.0;
@@ -323,8 +361,7 @@
             self.finish(key.job);
         } else {
             // A gang is done as a whole: only an array comes here.
-            let chunk = job.chunk_of(key.task);
-            self.mark_dirty(key.job, chunk, false, now);
+            self.mark_dirty(key.job, key.task, false, now);
         }
     }
 
@@ -333,7 +370,7 @@
             job.ended = Some(End::Done);
         }
         self.active.remove(&ix);
-        self.dirty.retain(|(job, _), _| *job != ix);
+        self.dirty.remove(&ix);
         self.ends.insert(ix);
     }
 
@@ -374,7 +411,7 @@
             && job.end_stored
             && job.slots == 0
         {
-            self.dirty.retain(|(j, _), _| *j != ix);
+            self.dirty.remove(&ix);
             self.settled.insert(ix);
         }
     }
@@ -422,6 +459,13 @@
         type_capacity(&self.types[type_ix])
     }
 
+    /// An attempt that no task ever had: a tenure's are counted from its token. That many between
+    /// two revisions of the store are never given.
+    pub(crate) fn fresh_attempt(&mut self) -> u64 {
+        self.next_attempt += 1;
+        self.next_attempt
+    }
+
     /// Notes the placement of a task; its launch follows once this is stored.
     pub(crate) fn bind(
         &mut self,
@@ -434,11 +478,9 @@
         let Some(job) = self.jobs.get_mut(&ix) else {
             return;
         };
-        let ver = job.bind(task, machine, attempt);
-        let chunk = job.chunk_of(task);
+        job.bind(task, machine, attempt, 0);
         let slot = Slot {
             amount: job.amount(),
-            ver,
             inherited: false,
             state: None,
             sent: false,
@@ -456,7 +498,7 @@
             m.add_slot(key, slot);
         }
         self.slot_added(ix);
-        self.mark_dirty(ix, chunk, true, now);
+        self.mark_dirty(ix, task, true, now);
     }
 
     /// The next transaction to send, if one is due; it stays the same until its outcome is told.
@@ -469,7 +511,8 @@
         self.write_tokens =
             (self.write_tokens + (now - self.write_refill) * rate).min(rate.max(1.0));
         self.write_refill = now;
-        let ops = (self.write_tokens as usize).min(state.txn_ops);
+        let txn_ops = state.txn_ops;
+        let ops = (self.write_tokens as usize).min(txn_ops);
         if ops == 0 {
             return None;
         }
@@ -480,21 +523,10 @@
             }],
             changes: Vec::new(),
         };
-        let mut flight_chunks = Vec::new();
+        let log_due = self.dirty.values().any(|d| d.due <= now);
         let mut flight_ends = Vec::new();
-        let mut cleared = Vec::new();
-        let mut bytes = 0;
-        let mut too_large = Vec::new();
-        let value_max = (state.value_kb * 1024.0) as usize;
-        let mut due: Vec<(Time, (JobIx, u32))> = self
-            .dirty
-            .iter()
-            .filter(|(_, at)| **at <= now)
-            .map(|(k, at)| (*at, *k))
-            .collect();
-        due.sort_by(|a, b| a.0.total_cmp(&b.0));
         for ix in &self.ends {
-            if txn.changes.len() >= ops {
+            if txn.changes.len() + usize::from(log_due) >= ops {
                 break;
             }
             let job = &self.jobs[ix];
@@ -509,72 +541,43 @@
             txn.changes.push(put(key::end(&job.id), &record)?);
             flight_ends.push(*ix);
         }
-        for (_, (ix, chunk)) in due {
-            if txn.changes.len() >= ops {
-                break;
-            }
-            let Some(job) = self.jobs.get(&ix) else {
-                self.dirty.remove(&(ix, chunk));
-                continue;
-            };
-            let c = &job.chunks[chunk as usize];
-            if c.ver <= c.stored || job.ended.is_some() {
-                self.dirty.remove(&(ix, chunk));
-                continue;
-            }
-            let fleet = &self.fleet;
-            let record = job.record(chunk, |m| match fleet.machines.get(&m) {
-                Some(m) => (m.name.to_string(), m.zone.to_string()),
-                None => (String::new(), String::new()),
-            });
-            let run_key = key::run(&job.id, chunk);
-            let change = put(run_key.clone(), &record)?;
-            if value_len(&change) > value_max {
-                // Long names of many machines: some tasks wait, rather than all writes.
-                too_large.push((ix, chunk));
-                self.dirty.remove(&(ix, chunk));
-                continue;
-            }
-            bytes += size(&change);
-            if bytes > TXN_BYTES {
-                break;
-            }
+        let mut writers = Vec::new();
+        if log_due {
+            writers = self.log_changes(ops - txn.changes.len(), now);
+        }
+        // Clearing away is worth no write that anything else could use.
+        let spare = txn_ops.min(self.write_tokens as usize / 2);
+        let used = txn.changes.len() + writers.len();
+        let gone = self.clear_log(
+            &mut writers,
+            spare.saturating_sub(used + 1).min(CLEARED_MAX),
+        );
+        let mut told = Vec::new();
+        for writer in writers {
+            let number = self.log.number();
             txn.conditions.push(Condition {
-                key: run_key,
-                version: c.stamp,
+                key: key::run(number),
+                version: 0,
             });
-            txn.changes.push(change);
-            flight_chunks.push((ix, chunk, c.ver));
-            self.dirty.remove(&(ix, chunk));
+            txn.changes.push(put(key::run(number), &writer.record)?);
+            told.push((number, writer.told));
         }
-        // Clearing away is worth no write that anything else could use.
-        let spare = state.txn_ops.min(self.write_tokens as usize / 2);
+        if !told.is_empty() {
+            self.logged_at = now;
+        }
+        for number in &gone {
+            let key = key::run(*number);
+            txn.changes.push(Change::Delete { key });
+        }
+        let mut cleared = Vec::new();
         for ix in &self.settled {
-            let job = &self.jobs[ix];
-            let stored: Vec<u32> = (0..job.chunks.len() as u32)
-                .filter(|c| job.chunks[*c as usize].stamp > 0)
-                .collect();
-            if txn.changes.len() + 2 > spare {
+            if txn.changes.len() >= spare {
                 break;
             }
-            // A large job is cleared over several transactions, its record last.
-            let room = spare - txn.changes.len() - 1;
-            let all = stored.len() <= room;
-            for chunk in stored.into_iter().take(room) {
-                txn.changes.push(Change::Delete {
-                    key: key::run(&job.id, chunk),
-                });
-                flight_chunks.push((*ix, chunk, u32::MAX));
-            }
-            if all {
-                txn.changes.push(Change::Delete {
-                    key: key::job(&job.id),
-                });
-                cleared.push(*ix);
-            }
-        }
-        for (ix, chunk) in too_large {
-            self.unplace(ix, chunk, now);
+            txn.changes.push(Change::Delete {
+                key: key::job(&self.jobs[ix].id),
+            });
+            cleared.push(*ix);
         }
         if txn.changes.is_empty() {
             return None;
@@ -583,7 +586,8 @@
         let txn = Rc::new(txn);
         self.in_flight = Some(InFlight {
             txn: txn.clone(),
-            chunks: flight_chunks,
+            told,
+            gone,
             ends: flight_ends,
             cleared,
             in_doubt: false,
@@ -591,26 +595,94 @@
         Some(txn)
     }
 
-    /// Takes back the placements of a chunk that are not stored: nobody was told of them.
-    fn unplace(&mut self, ix: JobIx, chunk: u32, now: Time) {
-        tracing::warn!("{}: chunk {chunk} is too large to store", self.jobs[&ix].id);
-        let unstored: Vec<(MachineIx, SlotKey)> = self
-            .fleet
-            .machines
-            .iter()
-            .flat_map(|(m, machine)| machine.slots.iter().map(move |(k, s)| (*m, *k, s)))
-            .filter(|(_, key, slot)| {
-                let job = &self.jobs[&ix];
-                key.job == ix
-                    && job.chunk_of(key.task) == chunk
-                    && slot.is_unsent()
-                    && !job.bind_is_stored(key.task, slot.ver)
-            })
-            .map(|(m, key, _)| (m, key))
-            .collect();
-        for (machine, key) in unstored {
-            self.off(machine, key, now);
+    /// Fills values of the log, `most` at the most, with what is due; what isn't yet takes the room
+    /// that is left.
+    fn log_changes(&mut self, most: usize, now: Time) -> Vec<Writer> {
+        let value_max = (self.config.deployment.state.value_kb * 1024.0) as usize;
+        let mut order: Vec<(Time, JobIx)> = self.dirty.iter().map(|(k, d)| (d.due, *k)).collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut full: Vec<Writer> = Vec::new();
+        let mut writer = Writer::new(value_max);
+        'jobs: for (due, ix) in order {
+            let Some(mut dirty) = self.dirty.remove(&ix) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get(&ix).filter(|j| j.ended.is_none()) else {
+                continue;
+            };
+            dirty.tasks.sort_unstable();
+            dirty.tasks.dedup();
+            let fleet = &self.fleet;
+            let place = |m| {
+                let m = fleet.machines.get(&m)?;
+                Some((&*m.name, &*m.zone))
+            };
+            for (at, task) in dirty.tasks.iter().enumerate() {
+                if writer.add(ix, job, *task, place) {
+                    continue;
+                }
+                let bytes: usize = full.iter().map(Writer::bytes).sum();
+                let room = full.len() + 1 < most && bytes + 2 * value_max < TXN_BYTES;
+                if due <= now && room && !writer.is_empty() {
+                    full.push(std::mem::replace(&mut writer, Writer::new(value_max)));
+                    if writer.add(ix, job, *task, place) {
+                        continue;
+                    }
+                }
+                if writer.is_empty() {
+                    // Never stored, and so never launched.
+                    tracing::error!("{}/{task}: too large to store", job.id);
+                    continue;
+                }
+                dirty.tasks.drain(..at);
+                self.dirty.insert(ix, dirty);
+                break 'jobs;
+            }
+        }
+        if !writer.is_empty() {
+            full.push(writer);
+        }
+        full
+    }
+
+    /// Tells anew what the oldest values still tell alone; returns those that can go.
+    fn clear_log(&mut self, writers: &mut Vec<Writer>, most: usize) -> Vec<u64> {
+        let value_max = (self.config.deployment.state.value_kb * 1024.0) as usize;
+        let mut gone = Vec::new();
+        let mut learned = Vec::new();
+        for (number, tasks) in self.log.oldest(most) {
+            let needed = |ix: &JobIx, task: u32| {
+                // What is over and off all machines is known by its end.
+                let job = self.jobs.get(ix).filter(|_| !self.settled.contains(ix));
+                job.filter(|job| job.needs(task, number))
+            };
+            let live: Vec<(JobIx, u32, &Job)> = tasks
+                .iter()
+                .filter_map(|(ix, task)| Some((*ix, *task, needed(ix, *task)?)))
+                .collect();
+            learned.push((live.len(), tasks.len()));
+            if !live.is_empty() && writers.is_empty() {
+                writers.push(Writer::new(value_max));
+            }
+            let fleet = &self.fleet;
+            let place = |m| {
+                let m = fleet.machines.get(&m)?;
+                Some((&*m.name, &*m.zone))
+            };
+            let all = live.iter().all(|(ix, task, job)| {
+                let writer = writers.last_mut();
+                writer.is_some_and(|w| w.add(*ix, job, *task, place))
+            });
+            if !all {
+                break;
+            }
+            gone.push(number);
         }
+        writers.retain(|w| !w.is_empty());
+        for (needed, told) in learned {
+            self.log.learn(needed, told);
+        }
+        gone
     }
 
     /// When something lazy is due to be written, if anything is.
@@ -618,7 +690,7 @@
         if !self.ends.is_empty() {
             return Some(self.began);
         }
-        let first = self.dirty.values().copied().min_by(f64::total_cmp);
+        let first = self.dirty.values().map(|d| d.due).min_by(f64::total_cmp);
         match first {
             None if !self.settled.is_empty() => Some(self.write_refill + 1.0),
             first => first,
@@ -631,8 +703,8 @@
             return AfterTxn::Go;
         };
         match outcome {
-            TxnOutcome::Applied(revision) => {
-                self.applied(revision, now);
+            TxnOutcome::Applied(_) => {
+                self.applied();
                 AfterTxn::Go
             }
             TxnOutcome::Unknown => {
@@ -666,10 +738,8 @@
                         self.ends.remove(&ix);
                     }
                 }
-                for (ix, chunk, ver) in flight.chunks {
-                    if ver != u32::MAX {
-                        self.dirty.insert((ix, chunk), now);
-                    }
+                for (ix, task, _) in flight.told.into_iter().flat_map(|(_, told)| told) {
+                    self.mark_dirty(ix, task, true, now);
                 }
                 AfterTxn::Go
             }
@@ -677,31 +747,27 @@
     }
 
     /// Whether the transaction under way was found applied at this revision; 0: it was not.
-    pub fn read_back(&mut self, revision: u64, now: Time) {
+    pub fn read_back(&mut self, revision: u64) {
         if revision > 0 {
-            self.applied(revision, now);
+            self.applied();
         }
     }
 
-    fn applied(&mut self, revision: u64, now: Time) {
+    fn applied(&mut self) {
         let Some(flight) = self.in_flight.take() else {
             return;
         };
-        for (ix, chunk, ver) in flight.chunks {
-            let Some(job) = self.jobs.get_mut(&ix) else {
-                continue;
-            };
-            let c = &mut job.chunks[chunk as usize];
-            if ver == u32::MAX {
-                c.stamp = 0;
-                continue;
-            }
-            c.stamp = revision;
-            c.stored = ver;
-            if c.ver > ver {
-                self.mark_dirty(ix, chunk, false, now);
+        for (number, told) in flight.told {
+            for (ix, task, what) in told {
+                if let Some(job) = self.jobs.get_mut(&ix) {
+                    job.stored(task, what, number);
+                    self.log.enter(number, ix, task);
+                }
             }
         }
+        for number in flight.gone {
+            self.log.cleared(number);
+        }
         for ix in flight.ends {
             self.ends.remove(&ix);
             if let Some(job) = self.jobs.get_mut(&ix) {
@@ -730,20 +796,6 @@
     })
 }
 
-fn value_len(change: &Change) -> usize {
-    match change {
-        Change::Put { value, .. } => value.get().len(),
-        Change::Delete { .. } => 0,
-    }
-}
-
-fn size(change: &Change) -> usize {
-    match change {
-        Change::Put { key, value, .. } => key.len() * 2 + value.get().len() + 128,
-        Change::Delete { key } => key.len() + 64,
-    }
-}
-
 /// What a machine of a type has.
 pub fn type_capacity(t: &MachineType) -> Amount {
     Amount {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod pricing;
 pub mod rt;
+pub mod runlog;
 pub mod scheduler;
 pub mod store;
 pub mod view;
--- a/src/main.rs
+++ b/src/main.rs
@@ -64,7 +64,6 @@
             println!("{config:#?}");
             println!("leader_life_s = {:.2}", config.leader_life_s());
             println!("off_after_s = {:.2}", config.off_after_s());
-            println!("chunk_tasks = {}", config.chunk_tasks());
         }
     }
     Ok(())
--- a/src/node.rs
+++ b/src/node.rs
@@ -398,7 +398,7 @@
             match view.jobs.get(id).filter(|j| j.is_known()) {
                 None => return Response::error(404, "no such job"),
                 Some(job) if job.end.is_some() => return job_answer(200, id, job),
-                Some(job) => (job.order, job.status(id).done),
+                Some(job) => (job.order, job.done()),
             }
         };
         let record = EndRecord {
@@ -426,13 +426,7 @@
             }],
         };
         match self.user_write(&txn).await {
-            Some(TxnOutcome::Applied(_)) => {
-                let ended = JobView {
-                    end: Some(record),
-                    ..JobView::default()
-                };
-                job_answer(200, id, &ended)
-            }
+            Some(TxnOutcome::Applied(_)) => job_answer(200, id, &JobView::ended(record)),
             Some(TxnOutcome::Conflict(_)) if self.barrier().await => self
                 .final_state(id, 200)
                 .unwrap_or_else(|| Response::later(503, "changing", RETRY_S)),
@@ -1013,8 +1007,7 @@
                 AfterTxn::ReadBack(key) => {
                     if let Ok(found) = self.store.get(&key).await {
                         let revision = found.map_or(0, |f| f.version);
-                        let now = self.now();
-                        self.with_lead(token, |lead| lead.read_back(revision, now));
+                        self.with_lead(token, |lead| lead.read_back(revision));
                     }
                 }
                 AfterTxn::Lost => {
--- /dev/null
+++ b/src/runlog.rs
@@ -0,0 +1,207 @@
+//! The log of where tasks are, as the leader writes it.
+//!
+//! A value holds what became of tasks of many jobs since the value before, so that the writes per
+//! second follow the time between two values and not the number of jobs. What an old value still
+//! tells is told once more by a new one, and the old one is deleted with the same transaction:
+//! always the oldest first, so that what it says of tasks that came free can be dropped.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::book::{Job, JobIx, MachineIx, Task};
+use crate::view::{JobLog, LogRecord};
+
+/// What a value says of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// On no machine.
+    Free,
+    /// On a machine, with this attempt.
+    Bound(u64),
+    /// Completed.
+    Done,
+}
+
+/// Values kept before old ones are cleared away: the older they are, the less is left in them.
+const KEPT_MIN: usize = 128;
+/// Numbers of values are a token and so many bits of a counter.
+const NUMBER_BITS: u32 = 16;
+/// Commas, brackets and quotes around the parts of a value.
+const JOB_PUNCTUATION: usize = 32;
+const RANGE_PUNCTUATION: usize = 5;
+const NAME_PUNCTUATION: usize = 6;
+const RECORD_PUNCTUATION: usize = 32;
+
+/// A value being filled.
+#[derive(Debug)]
+pub struct Writer {
+    pub record: LogRecord,
+    /// The tasks told of.
+    pub told: Vec<(JobIx, u32, Told)>,
+    bytes: usize,
+    limit: usize,
+    machines: HashMap<MachineIx, u32>,
+    jobs: HashMap<(JobIx, u64), usize>,
+}
+
+fn digits(n: u64) -> usize {
+    n.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
+impl Writer {
+    /// An empty value that may have at most `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Writer {
+            record: LogRecord::default(),
+            told: Vec::new(),
+            bytes: RECORD_PUNCTUATION,
+            limit,
+            machines: HashMap::new(),
+            jobs: HashMap::new(),
+        }
+    }
+
+    /// Whether nothing is told yet.
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
+    /// Bytes so far, at the most.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Tells how a task is now. False if there is no room for that. `place` gives a machine's name
+    /// and zone.
+    pub fn add<'a>(
+        &mut self,
+        ix: JobIx,
+        job: &Job,
+        task: u32,
+        place: impl FnOnce(MachineIx) -> Option<(&'a str, &'a str)>,
+    ) -> bool {
+        let (told, machine) = match job.task(task) {
+            Task::Pending => (Told::Free, None),
+            Task::Done { .. } => (Told::Done, None),
+            Task::Bound {
+                machine, attempt, ..
+            } => (Told::Bound(attempt), Some(machine)),
+        };
+        let attempt = match told {
+            Told::Bound(attempt) => attempt,
+            Told::Free | Told::Done => 0,
+        };
+        let mut cost = 3 * digits(u64::from(task) + 1) + RANGE_PUNCTUATION;
+        if !self.jobs.contains_key(&(ix, attempt)) {
+            cost += job.id.len() + digits(attempt) + JOB_PUNCTUATION;
+        }
+        let mut fresh = None;
+        if let Some(machine) = machine
+            && !self.machines.contains_key(&machine)
+        {
+            let Some((name, zone)) = place(machine) else {
+                return true;
+            };
+            cost += name.len() + NAME_PUNCTUATION + digits(self.machines.len() as u64);
+            if !self.record.zones.iter().any(|z| z == zone) {
+                cost += zone.len() + NAME_PUNCTUATION;
+            }
+            fresh = Some((machine, name, zone));
+        }
+        if self.bytes + cost > self.limit {
+            return false;
+        }
+        self.bytes += cost;
+        if let Some((machine, name, zone)) = fresh {
+            let zones = &mut self.record.zones;
+            let at = zones.iter().position(|z| z == zone).unwrap_or_else(|| {
+                zones.push(zone.to_owned());
+                zones.len() - 1
+            });
+            self.record.machines.push((name.to_owned(), at as u32));
+            let at = self.record.machines.len() as u32 - 1;
+            self.machines.insert(machine, at);
+        }
+        let jobs = &mut self.record.jobs;
+        let at = *self.jobs.entry((ix, attempt)).or_insert_with(|| {
+            jobs.push(JobLog {
+                id: job.id.to_string(),
+                attempt,
+                ..JobLog::default()
+            });
+            jobs.len() - 1
+        });
+        let log = &mut jobs[at];
+        match machine.and_then(|m| self.machines.get(&m)) {
+            Some(place) => match log.bound.last_mut() {
+                Some((first, n, at)) if *first + *n == task && at == place => *n += 1,
+                _ => log.bound.push((task, 1, *place)),
+            },
+            None => {
+                let ranges = match told {
+                    Told::Done => &mut log.done,
+                    Told::Free | Told::Bound(_) => &mut log.free,
+                };
+                match ranges.last_mut() {
+                    Some((first, n)) if *first + *n == task => *n += 1,
+                    _ => ranges.push((task, 1)),
+                }
+            }
+        }
+        self.told.push((ix, task, told));
+        true
+    }
+}
+
+/// The values that are stored, and which tasks each tells of.
+#[derive(Debug)]
+pub struct RunLog {
+    values: BTreeMap<u64, Vec<(JobIx, u32)>>,
+    next: u64,
+    kept: usize,
+}
+
+impl RunLog {
+    /// The log as a leader with this token finds it. Its numbers are its token and some bits of a
+    /// counter, and so above all that were used before: the store's revision rises with every
+    /// transaction, which holds few values.
+    pub fn new(token: u64, stored: impl Iterator<Item = u64>) -> Self {
+        RunLog {
+            values: stored.map(|number| (number, Vec::new())).collect(),
+            next: token << NUMBER_BITS,
+            kept: KEPT_MIN,
+        }
+    }
+
+    /// Notes that a stored value tells of a task.
+    pub fn enter(&mut self, number: u64, ix: JobIx, task: u32) {
+        self.values.entry(number).or_default().push((ix, task));
+    }
+
+    /// The number of the next value.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next - 1
+    }
+
+    /// A value was deleted.
+    pub fn cleared(&mut self, number: u64) {
+        self.values.remove(&number);
+    }
+
+    /// The oldest values to be cleared away now, `most` at the most, with the tasks they told of.
+    pub fn oldest(&self, most: usize) -> impl Iterator<Item = (u64, &[(JobIx, u32)])> {
+        let surplus = self.values.len().saturating_sub(self.kept);
+        let oldest = self.values.iter().take(surplus.min(most));
+        oldest.map(|(number, tasks)| (*number, tasks.as_slice()))
+    }
+
+    /// Notes how much of a cleared value was still needed: where that is most of it, clearing away
+    /// costs more than it gives, and more is kept.
+    pub fn learn(&mut self, needed: usize, told: usize) {
+        self.kept = if needed * 2 > told.max(1) {
+            self.values.len() + self.values.len() / 4
+        } else {
+            self.kept.saturating_sub(1).max(KEPT_MIN)
+        };
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -189,7 +189,7 @@
         let weight = self.config.tunables.weights[rank(spec.priority)];
         let zones = self.zones_taken(ix);
         let mut zones = Zones::new(&spec, zones);
-        let attempt = self.jobs[&ix].fresh_attempt();
+        let attempt = self.fresh_attempt();
         loop {
             if !self.team_allows(team, amount) {
                 return;
@@ -263,7 +263,7 @@
             if chosen.len() < spec.tasks as usize {
                 continue;
             }
-            let attempt = self.jobs[&ix].fresh_attempt();
+            let attempt = self.fresh_attempt();
             for at in chosen {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
                     return;
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,6 +1,6 @@
 //! What the state service holds, as followed by every controller.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
@@ -38,9 +38,9 @@
     pub fn end(id: &str) -> String {
         format!("{ROOT}end/{id}")
     }
-    /// Where a job's tasks are, a chunk of them.
-    pub fn run(id: &str, chunk: u32) -> String {
-        format!("{ROOT}run/{id}/{chunk}")
+    /// A value of the log that tells where tasks are.
+    pub fn run(number: u64) -> String {
+        format!("{ROOT}run/{number}")
     }
 }
 
@@ -74,21 +74,53 @@
     pub done: u32,
 }
 
-/// Where a chunk of a job's tasks is, written compactly: many must fit into one value.
+/// What became of tasks of many jobs, written compactly: much must fit into one value.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct ChunkRecord {
-    /// Highest attempt ever given to a task of this chunk.
-    #[serde(rename = "a")]
+pub struct LogRecord {
+    #[serde(rename = "z", default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<String>,
+    /// Machines and the places of their zones in the list above.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub machines: Vec<(String, u32)>,
+    #[serde(rename = "j", default)]
+    pub jobs: Vec<JobLog>,
+}
+
+/// What became of tasks of a job: ranges of them, first one and how many.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobLog {
+    #[serde(rename = "i")]
+    pub id: String,
+    /// The attempt of those that may be on a machine.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
     pub attempt: u64,
-    /// Tasks done: first one and how many, counted from the chunk's first.
-    #[serde(rename = "d", default)]
+    /// Tasks that may be on a machine, and its place in the record's list.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub bound: Vec<(u32, u32, u32)>,
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32)>,
-    /// Machines and their zones.
-    #[serde(rename = "m", default)]
-    pub machines: Vec<(String, String)>,
-    /// Tasks that may be on a machine: task, machine's place in the list above, attempt.
-    #[serde(rename = "t", default)]
-    pub bound: Vec<(u32, u32, u64)>,
+    /// Tasks that are on no machine any more.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub free: Vec<(u32, u32)>,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+/// A machine's name and zone.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Place {
+    pub machine: String,
+    pub zone: String,
+}
+
+/// How a task is, by the newest value of the log that tells of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Mark {
+    Free,
+    Done,
+    On { place: Rc<Place>, attempt: u64 },
 }
 
 /// A job as stored.
@@ -100,10 +132,21 @@
     /// When this controller came to know it, if it was there at the time.
     pub seen: Option<Time>,
     pub end: Option<EndRecord>,
-    pub chunks: BTreeMap<u32, (ChunkRecord, u64)>,
+    /// Tasks that the log tells of, with the number of the value that does.
+    pub tasks: BTreeMap<u32, (u64, Mark)>,
+    done: u32,
+    on_machines: u32,
 }
 
 impl JobView {
+    /// A job that is over.
+    pub fn ended(record: EndRecord) -> Self {
+        JobView {
+            end: Some(record),
+            ..JobView::default()
+        }
+    }
+
     /// Whether a user was or may have been told that the job is accepted.
     pub fn is_known(&self) -> bool {
         self.spec.is_some() || self.end.is_some()
@@ -123,20 +166,46 @@
                 running: 0,
             };
         }
-        let chunks = || self.chunks.values().map(|(c, _)| c);
-        let done = chunks().flat_map(|c| &c.done).map(|(_, n)| n).sum();
-        let running = chunks().map(|c| c.bound.len() as u32).sum();
         JobStatus {
             id,
-            state: if running > 0 {
+            state: if self.on_machines > 0 {
                 JobState::Running
             } else {
                 JobState::Queued
             },
-            done,
-            running,
+            done: self.done,
+            running: self.on_machines,
         }
     }
+
+    /// How many tasks are done.
+    pub fn done(&self) -> u32 {
+        self.end.map_or(self.done, |end| end.done)
+    }
+
+    fn mark(&mut self, task: u32, number: u64, mark: Mark) {
+        if self.tasks.get(&task).is_some_and(|(n, _)| *n > number) {
+            return;
+        }
+        let count = |view: &mut JobView, mark: &Mark, sign: i32| {
+            let counter = match mark {
+                Mark::Free => return,
+                Mark::Done => &mut view.done,
+                Mark::On { .. } => &mut view.on_machines,
+            };
+            *counter = counter.saturating_add_signed(sign);
+        };
+        count(self, &mark, 1);
+        if let Some((_, old)) = self.tasks.insert(task, (number, mark)) {
+            count(self, &old, -1);
+        }
+    }
+
+    fn forget_tasks(&mut self) {
+        self.tasks.clear();
+        self.done = 0;
+        self.on_machines = 0;
+    }
 }
 
 /// What a change was about.
@@ -157,6 +226,8 @@
     pub jobs: HashMap<Rc<str>, JobView>,
     pub leader: Option<(LeaderRecord, u64)>,
     pub types: Option<Rc<Vec<MachineType>>>,
+    /// Numbers of the log's values.
+    pub log: BTreeSet<u64>,
 }
 
 impl View {
@@ -193,6 +264,7 @@
                     None => {
                         let job = self.jobs.get_mut(&id)?;
                         job.spec = None;
+                        job.forget_tasks();
                         if !job.is_known() {
                             self.jobs.remove(&id);
                         }
@@ -207,21 +279,14 @@
                 Some(Change::End(id))
             }
             "run" => {
-                let (id, chunk) = rest.split_once('/')?;
-                let chunk: u32 = chunk.parse().ok()?;
+                let number: u64 = rest.parse().ok()?;
                 match value {
                     Some(value) => {
-                        let id: Rc<str> = id.into();
-                        let chunks = &mut self.jobs.entry(id).or_default().chunks;
-                        if chunks.get(&chunk).is_none_or(|(_, v)| *v < version) {
-                            chunks.insert(chunk, (parse(value)?, version));
-                        }
+                        self.log.insert(number);
+                        self.take_log(number, parse(value)?);
                     }
                     None => {
-                        let job = self.jobs.get_mut(id)?;
-                        if job.chunks.get(&chunk).is_some_and(|(_, v)| *v <= version) {
-                            job.chunks.remove(&chunk);
-                        }
+                        self.log.remove(&number);
                     }
                 }
                 None
@@ -229,6 +294,46 @@
             _ => None,
         }
     }
+
+    /// Takes in a value of the log. What it says of jobs that are forgotten tells nothing; a job
+    /// not yet known, as while pages are read, comes once more by the watch, and so does this.
+    fn take_log(&mut self, number: u64, record: LogRecord) {
+        let zone = |at: u32| record.zones.get(at as usize).cloned().unwrap_or_default();
+        let places: Vec<Rc<Place>> = record
+            .machines
+            .iter()
+            .map(|(machine, at)| {
+                Rc::new(Place {
+                    machine: machine.clone(),
+                    zone: zone(*at),
+                })
+            })
+            .collect();
+        for log in &record.jobs {
+            let Some(job) = self.jobs.get_mut(log.id.as_str()) else {
+                continue;
+            };
+            let Some(tasks) = job.spec.as_ref().map(|s| s.tasks) else {
+                continue;
+            };
+            let range = |first: u32, n: u32| first..first.saturating_add(n).min(tasks);
+            for (first, n, at) in &log.bound {
+                let Some(place) = places.get(*at as usize) else {
+                    continue;
+                };
+                for task in range(*first, *n) {
+                    let place = place.clone();
+                    let attempt = log.attempt;
+                    job.mark(task, number, Mark::On { place, attempt });
+                }
+            }
+            for (ranges, mark) in [(&log.done, Mark::Done), (&log.free, Mark::Free)] {
+                for task in ranges.iter().flat_map(|(first, n)| range(*first, *n)) {
+                    job.mark(task, number, mark.clone());
+                }
+            }
+        }
+    }
 }
 
 fn parse<T: serde::de::DeserializeOwned>(value: &RawValue) -> Option<T> {
