--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -5,7 +5,7 @@
 
 use crate::book::{JobIx, MachineIx, amount};
 use crate::expect::{JOBS_KEPT, Mean, class_name};
-use crate::fleet::{Machine, Role};
+use crate::fleet::Role;
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
 use crate::rt::Time;
@@ -52,8 +52,13 @@
 struct Pool {
     refused_until: Time,
     backoff_s: f64,
+    /// How many machines of it there were when it last refused: no more are asked for meanwhile.
+    limit: u32,
 }
 
+/// Machines to be rented: pool, role, how many.
+type Rents = BTreeMap<(PoolKey, Role), u32>;
+
 /// A call to the cloud.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CloudCall {
@@ -343,7 +348,8 @@
             class.run_s = (run_s * seen + expected * RUNS_MIN) / (seen + RUNS_MIN);
         }
         let mut units = self.units(now);
-        let mut rents: BTreeMap<(PoolKey, Role), u32> = BTreeMap::new();
+        let mut rents = Rents::new();
+        let there = self.pool_counts();
         let mut classes: Vec<Class> = self.classes.values().cloned().collect();
         // Work that takes most of a machine chooses first, then what has least choice.
         classes.sort_by_key(|c| {
@@ -360,7 +366,7 @@
                 class.bound,
                 class.run_s()
             );
-            self.cover(class, want, &mut units, &mut rents, now);
+            self.cover(class, want, &mut units, &there, &mut rents, now);
         }
         for unit in &units {
             let Some(m) = unit.ix.and_then(|ix| self.fleet.machines.get_mut(&ix)) else {
@@ -622,7 +628,8 @@
         class: &Class,
         want: Want,
         units: &mut Vec<Unit>,
-        rents: &mut BTreeMap<(PoolKey, Role), u32>,
+        there: &BTreeMap<PoolKey, u32>,
+        rents: &mut Rents,
         now: Time,
     ) {
         let spec = &class.spec;
@@ -677,7 +684,9 @@
                 return;
             }
             let limit = if cheap_only { cheap } else { f64::INFINITY };
-            let Some((pool, per_machine)) = self.best_pool(class, need, limit, now) else {
+            let Some((pool, per_machine, room)) =
+                self.best_pool(class, need, limit, there, rents, now)
+            else {
                 if cheap_only {
                     left.full = left.lean;
                     continue;
@@ -694,7 +703,9 @@
                 }
                 return;
             };
-            let machines = (need / per_machine).ceil().min(f64::from(RENT_MAX));
+            let machines = (need / per_machine)
+                .ceil()
+                .min(f64::from(room.min(RENT_MAX)));
             let role = if large_class {
                 Role::Large
             } else {
@@ -766,9 +777,33 @@
         }
     }
 
-    /// Where machines for `left` tasks of a class cost least, among pools that don't refuse now.
-    fn best_pool(&self, class: &Class, left: f64, limit: f64, now: Time) -> Option<(PoolKey, f64)> {
-        let mut best: Option<(f64, usize, PoolKey, f64)> = None;
+    /// How many machines of each pool there are.
+    fn pool_counts(&self) -> BTreeMap<PoolKey, u32> {
+        let mut counts = BTreeMap::new();
+        for m in self.fleet.machines.values() {
+            let Some(type_ix) = m.type_ix else { continue };
+            let key = PoolKey {
+                type_ix,
+                spot: m.spot,
+                zone: m.zone.clone(),
+            };
+            *counts.entry(key).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Where machines for `left` tasks of a class cost least, among pools that have room as far as
+    /// known: the pool, the tasks that fit on a machine, and how many machines may be asked for.
+    fn best_pool(
+        &self,
+        class: &Class,
+        left: f64,
+        limit: f64,
+        there: &BTreeMap<PoolKey, u32>,
+        rents: &Rents,
+        now: Time,
+    ) -> Option<(PoolKey, f64, u32)> {
+        let mut best: Option<(f64, u32, PoolKey, f64, u32)> = None;
         for (type_ix, spot) in self.kinds(&class.spec) {
             let t = &self.types[type_ix];
             let per_machine = tasks_that_fit(class.amount, self.capacity_of(type_ix));
@@ -786,29 +821,29 @@
                     spot,
                     zone: zone.as_str().into(),
                 };
-                if self
-                    .cloud
-                    .pools
-                    .get(&pool)
-                    .is_some_and(|p| p.refused_until > now)
-                {
+                let asked: u32 = [Role::Shared, Role::Large]
+                    .iter()
+                    .filter_map(|role| rents.get(&(pool.clone(), *role)))
+                    .sum();
+                let count = there.get(&pool).copied().unwrap_or(0) + asked;
+                let room = match self.cloud.pools.get(&pool) {
+                    Some(p) if p.refused_until > now => p.limit.saturating_sub(count),
+                    // One request tells whether it has room again.
+                    Some(p) if p.backoff_s > 0.0 => RENT_MAX.saturating_sub(asked),
+                    _ => u32::MAX,
+                };
+                if room == 0 {
                     continue;
                 }
-                let there = self
-                    .fleet
-                    .machines
-                    .values()
-                    .filter(|m| *m.zone == **zone && m.spot == spot)
-                    .count();
                 let better = best
                     .as_ref()
-                    .is_none_or(|(c, n, _, _)| (cost, there) < (*c, *n));
+                    .is_none_or(|(c, n, ..)| (cost, count) < (*c, *n));
                 if better {
-                    best = Some((cost, there, pool, per_machine));
+                    best = Some((cost, count, pool, per_machine, room));
                 }
             }
         }
-        best.map(|(_, _, pool, per_machine)| (pool, per_machine))
+        best.map(|(.., pool, per_machine, room)| (pool, per_machine, room))
     }
 
     /// Drains and returns machines that have not been needed for a while.
@@ -941,29 +976,24 @@
         })
     }
 
-    /// A machine is gone: where it came from there may be another.
-    pub(crate) fn pool_freed(&mut self, machine: &Machine) {
-        let Some(type_ix) = machine.type_ix else {
-            return;
-        };
-        let key = PoolKey {
-            type_ix,
-            spot: machine.spot,
-            zone: machine.zone.clone(),
-        };
-        self.cloud.pools.remove(&key);
-    }
-
+    /// A pool has no more to give now. Further requests to it are dropped: at some hundred machines
+    /// in requests of 50 they once kept the cloud's few calls from all other pools.
     fn refused(&mut self, rent: &Rent, now: Time) {
         let Some(key) = self.pool_of(rent) else {
             return;
         };
+        self.cloud.rents.retain(|(queued, _)| {
+            (&queued.type_name, &queued.zone, queued.spot)
+                != (&rent.type_name, &rent.zone, rent.spot)
+        });
         let boot_s = self.types[key.type_ix].boot_s;
+        let there = self.pool_counts().get(&key).copied().unwrap_or(0);
         let pool = self.cloud.pools.entry(key).or_default();
         pool.backoff_s = (pool.backoff_s * 2.0)
             .max(boot_s * REFUSED_BOOTS)
             .min(boot_s * REFUSED_BOOTS_MAX);
         pool.refused_until = now + pool.backoff_s;
+        pool.limit = there;
         self.cloud.sized_at = f64::NEG_INFINITY;
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -650,9 +650,7 @@
         for key in keys {
             self.off(ix, key, now);
         }
-        if let Some(m) = self.fleet.remove(ix) {
-            self.pool_freed(&m);
-        }
+        self.fleet.remove(ix);
         self.changed = true;
     }
 }
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -754,3 +754,37 @@
         .count();
     assert!(done > 950, "{done}");
 }
+
+/// Ten more requests once went to a pool after it had refused: other pools waited for as long.
+#[test]
+fn a_pool_that_refuses_is_not_asked_for_the_rest_and_others_are_asked_at_once() {
+    let mut store = FakeStore::default();
+    let mut large = job("j-1", 4000);
+    large.types = Some(vec!["small".into()]);
+    store.submit(&large);
+    let mut lead = store.elect("n0", 0.0);
+    let mut asked = Vec::new();
+    for step in 0..4 {
+        let now = f64::from(step);
+        lead.tend(now);
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(rent, _) if rent.zone == "north" => {
+                    asked.push((now, rent.zone.clone()));
+                    // Room for three.
+                    let names = ["i-1", "i-2", "i-3"].map(str::to_owned);
+                    CloudAnswer::Rented(names.to_vec())
+                }
+                CloudCall::Rent(rent, _) => {
+                    asked.push((now, rent.zone.clone()));
+                    CloudAnswer::NoCapacity
+                }
+                CloudCall::List { .. } => CloudAnswer::List(Vec::new(), false),
+                _ => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+    }
+    let count = |zone: &str| asked.iter().filter(|(_, z)| z == zone).count();
+    assert_eq!((count("north"), count("south")), (1, 1), "{asked:?}");
+}
