Launches that should not wait for a report go out directly; what had no answer stays in doubt

An attempt whose direct launch had no answer is neither reaped nor freed before its session ends; a withdrawn one costs the machine.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -266,6 +266,8 @@
                     .values()
                     .all(|s| s.over || s.running_since.is_none())
                     || now - m.cool_until > w.lease_s
+            } else if m.is_haunted(now, w.report_s * t.silent_reports) {
+                true
             } else if let Some(h) = m.heard {
                 trusted && now - h > silent_s
             } else if let Some(up_at) = m.listed_running {
@@ -296,7 +298,7 @@
     }
 
     /// How soon tasks of a class should start.
-    fn tightest_wait(&self, spec: &Submission) -> f64 {
+    pub(crate) fn tightest_wait(&self, spec: &Submission) -> f64 {
         let team_has_guarantee = self
             .config
             .team(&spec.team)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -18,6 +18,39 @@
     pub attempt: u64,
 }
 
+/// How it stands with a launch that was sent directly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DirectLaunch {
+    /// No answer yet.
+    UnderWay,
+    /// There was none: it may be carried out at any time, until the worker's session ends.
+    Unanswered,
+    /// The worker has carried it out.
+    Answered,
+}
+
+/// What became of a direct message.
+#[derive(Debug, Clone)]
+pub enum DirectOutcome {
+    /// Carried out; the worker's report after that.
+    Done(Report),
+    /// Not carried out: token or session didn't match.
+    Refused(Report),
+    /// There was no connection: it will never be carried out.
+    NotSent,
+    /// No answer.
+    Unknown,
+}
+
+/// A direct message to a worker.
+#[derive(Debug, Clone)]
+pub struct DirectMessage {
+    pub machine: MachineIx,
+    pub addr: SocketAddr,
+    pub session: u64,
+    pub commands: Vec<Command>,
+}
+
 /// What is known of an attempt that may be on a machine.
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -26,8 +59,10 @@
     pub inherited: bool,
     /// As last reported.
     pub state: Option<TaskState>,
-    /// The launch went out in the answer to the last report.
+    /// The launch went out and is not known to have been dropped.
     pub sent: bool,
+    /// A launch went out directly.
+    pub direct: Option<DirectLaunch>,
     /// It is to be stopped, with this grace.
     pub stop: Option<f64>,
     pub placed: Time,
@@ -40,7 +75,21 @@
 impl Slot {
     /// Whether nobody can have launched it.
     pub fn is_unsent(&self) -> bool {
-        !self.inherited && !self.sent && self.state.is_none()
+        !self.inherited && !self.sent && self.state.is_none() && !self.in_doubt()
+    }
+
+    /// Whether a direct launch may yet be carried out.
+    pub fn in_doubt(&self) -> bool {
+        matches!(
+            self.direct,
+            Some(DirectLaunch::UnderWay | DirectLaunch::Unanswered)
+        )
+    }
+
+    /// Whether a late or repeated direct launch could bring the attempt back once it is reaped.
+    /// One that completed does no harm: it completes again.
+    fn may_return(&self, why: Why) -> bool {
+        self.in_doubt() || (self.direct.is_some() && why != Why::Done)
     }
 }
 
@@ -97,11 +146,19 @@
     pub images: Vec<Rc<str>>,
     /// A direct message to its worker is wanted.
     pub direct_wanted: bool,
+    /// Launches wait that should not wait for its next report.
+    pub launch_wanted: bool,
     pub direct_tried: Time,
+    /// A direct message is under way.
+    pub direct_live: bool,
+    /// Exited attempts of this session that are not to be reaped, see [`Slot::may_return`].
+    kept: HashSet<(String, u64)>,
 }
 
 /// Images remembered of a machine.
 const IMAGES_KEPT: usize = 8;
+/// Part of the time in which a job is to start that its launch may wait for a report.
+const LAUNCH_WAIT_SHARE: f64 = 0.1;
 /// Commands in one answer, so that its only line stays short.
 const COMMANDS_MAX: usize = 400;
 
@@ -137,7 +194,10 @@
             cool_until: 0.0,
             images: Vec::new(),
             direct_wanted: false,
+            launch_wanted: false,
             direct_tried: f64::NEG_INFINITY,
+            direct_live: false,
+            kept: HashSet::new(),
         }
     }
 
@@ -146,6 +206,17 @@
         self.heard.is_some()
     }
 
+    /// Whether a direct launch that had no answer may yet start something that must not run: only
+    /// the machine's end tells that it won't.
+    pub fn is_haunted(&self, now: Time, within_s: f64) -> bool {
+        self.slots.values().any(|s| {
+            s.direct == Some(DirectLaunch::Unanswered)
+                && s.state.is_none()
+                && s.stop.is_some()
+                && now - s.placed > within_s
+        })
+    }
+
     /// Whether nothing is or may be on it but what is over.
     pub fn is_empty(&self) -> bool {
         self.slots.values().all(|s| s.over)
@@ -285,6 +356,13 @@
         if (report.session, report.seq) <= (m.session, m.seq) {
             return Vec::new();
         }
+        if report.session > m.session {
+            // Direct messages to an earlier session are refused from now on.
+            m.kept.clear();
+            for slot in m.slots.values_mut().filter(|s| s.in_doubt()) {
+                slot.direct = None;
+            }
+        }
         m.session = report.session;
         m.seq = report.seq;
         m.token = m.token.max(report.token);
@@ -314,7 +392,8 @@
                     Some(key) => self.on_exit(ix, key, t.why.unwrap_or(Why::Other), fenced, now),
                     None => fenced,
                 };
-                if forget {
+                let kept = |m: &Machine| m.kept.contains(&(t.task.clone(), t.attempt));
+                if forget && !self.fleet.machines.get(&ix).is_some_and(kept) {
                     commands.push(Command::Forget {
                         task: t.task.clone(),
                         attempt: t.attempt,
@@ -371,6 +450,10 @@
         if !fenced && known.as_ref().is_none_or(|s| s.inherited) {
             return false;
         }
+        if known.as_ref().is_some_and(|s| s.may_return(why)) {
+            let name = job_task(&self.jobs[&key.job].id, key.task);
+            m.kept.insert((name, key.attempt));
+        }
         // A service's task is never done: one that exits starts anew.
         if why == Why::Done && self.jobs[&key.job].spec.kind != Kind::Service {
             m.finish_slot(&key);
@@ -409,6 +492,7 @@
                 inherited: true,
                 state: None,
                 sent: false,
+                direct: None,
                 stop: None,
                 placed: now,
                 running_since: None,
@@ -457,6 +541,11 @@
                 }
             } else if slot.state.is_some() {
                 off.push(*key);
+            } else if slot.in_doubt() {
+                // The launch may come later: it stays here. The next answer may carry it too.
+                if slot.direct == Some(DirectLaunch::Unanswered) && source == Source::Checkin {
+                    slot.sent = false;
+                }
             } else if slot.sent {
                 // Only the worker's next own report proves that the answer with the launch was
                 // dropped: it is made after that answer was carried out or given up.
@@ -513,6 +602,8 @@
         };
         m.direct_wanted = false;
         let settled = m.token >= token && !m.leaving;
+        let launches = settled && (source == Source::Checkin || m.launch_wanted);
+        m.launch_wanted = false;
         let mut images = Vec::new();
         for (key, slot) in &mut m.slots {
             if !fits(commands) {
@@ -533,15 +624,18 @@
                         grace_s,
                     });
                 }
-            } else if source == Source::Checkin
-                && settled
+            } else if launches
                 && slot.state.is_none()
+                && !(source == Source::Direct && slot.in_doubt())
                 && !slot.inherited
                 && !slot.sent
                 && job.ended.is_none()
                 && job.bind_is_stored(key.task, key.attempt)
             {
                 slot.sent = true;
+                if source == Source::Direct {
+                    slot.direct = Some(DirectLaunch::UnderWay);
+                }
                 images.push(job.spec.clone());
                 commands.push(Command::Start {
                     task: job_task(&job.id, key.task),
@@ -567,35 +661,100 @@
         }
     }
 
-    /// Direct messages to send now, `most` at the most: address, session, commands.
-    pub fn directs(
-        &mut self,
-        now: Time,
-        gap_s: f64,
-        most: usize,
-    ) -> Vec<(SocketAddr, u64, Vec<Command>)> {
+    /// Direct messages to send now, `most` at the most.
+    pub fn directs(&mut self, now: Time, gap_s: f64, most: usize) -> Vec<DirectMessage> {
         let due: Vec<(MachineIx, SocketAddr, u64)> = self
             .fleet
             .machines
             .iter()
-            .filter(|(_, m)| m.direct_wanted && !m.leaving && now - m.direct_tried > gap_s)
+            .filter(|(_, m)| {
+                (m.launch_wanted || (m.direct_wanted && now - m.direct_tried > gap_s))
+                    && !m.leaving
+                    && !m.direct_live
+            })
             .filter_map(|(ix, m)| Some((*ix, m.addr?, m.session)))
             .take(most)
             .collect();
         let mut messages = Vec::new();
-        for (ix, addr, session) in due {
+        for (machine, addr, session) in due {
             let mut commands = Vec::new();
-            self.write_commands(ix, Source::Direct, &mut commands);
-            if let Some(m) = self.fleet.machines.get_mut(&ix) {
+            self.write_commands(machine, Source::Direct, &mut commands);
+            if let Some(m) = self.fleet.machines.get_mut(&machine) {
                 m.direct_tried = now;
+                m.direct_live = true;
                 // Until it was heard, or has nothing left to stop, it is called on again.
                 m.direct_wanted = !m.is_up() || m.slots.values().any(|s| s.stop.is_some());
             }
-            messages.push((addr, session, commands));
+            messages.push(DirectMessage {
+                machine,
+                addr,
+                session,
+                commands,
+            });
         }
         messages
     }
 
+    /// Takes in what became of a direct message.
+    pub fn on_direct(&mut self, machine: MachineIx, outcome: DirectOutcome, now: Time) {
+        let Some(m) = self.fleet.machines.get_mut(&machine) else {
+            return;
+        };
+        m.direct_live = false;
+        let mut back = Vec::new();
+        for (key, slot) in &mut m.slots {
+            if slot.direct != Some(DirectLaunch::UnderWay) {
+                continue;
+            }
+            slot.direct = match outcome {
+                DirectOutcome::Done(_) => Some(DirectLaunch::Answered),
+                DirectOutcome::Unknown => Some(DirectLaunch::Unanswered),
+                DirectOutcome::Refused(_) | DirectOutcome::NotSent => {
+                    slot.sent = false;
+                    None
+                }
+            };
+            if matches!(outcome, DirectOutcome::NotSent) && slot.is_unsent() {
+                back.push(*key);
+            }
+        }
+        match outcome {
+            DirectOutcome::Done(report) | DirectOutcome::Refused(report) => {
+                if report.token <= self.token {
+                    self.last_report = now;
+                    self.on_report(&report, Source::Direct, now);
+                }
+            }
+            DirectOutcome::NotSent if !back.is_empty() => {
+                // Nobody there: what it was to do goes elsewhere, until it reports again.
+                m.cool_until = now + self.config.deployment.workers.report_s;
+                for key in back {
+                    self.off(machine, key, now);
+                }
+            }
+            DirectOutcome::NotSent | DirectOutcome::Unknown => {}
+        }
+    }
+
+    /// Notes that a launch may go out: directly, if waiting for the machine's next report would
+    /// take a good part of the time in which its job is to start.
+    pub(crate) fn launch_ready(&mut self, ix: JobIx, task: u32, now: Time) {
+        let Some(job) = self.jobs.get(&ix) else {
+            return;
+        };
+        let Task::Bound { machine, .. } = job.task(task) else {
+            return;
+        };
+        let may_wait = self.tightest_wait(&job.spec) * LAUNCH_WAIT_SHARE;
+        let report_s = self.config.deployment.workers.report_s;
+        if let Some(m) = self.fleet.machines.get_mut(&machine)
+            && m.heard
+                .is_some_and(|heard| heard + report_s - now > may_wait)
+        {
+            m.launch_wanted = true;
+        }
+    }
+
     /// Lets what can save do so before the cloud takes the machine.
     fn heed_notice(&mut self, ix: MachineIx, now: Time) {
         let Some(m) = self.fleet.machines.get_mut(&ix) else {
--- a/src/http.rs
+++ b/src/http.rs
@@ -447,6 +447,18 @@
         path: &str,
         body: Option<&[u8]>,
         limit_s: f64,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        self.call_if(method, path, body, limit_s, || true).await
+    }
+
+    /// As [`Client::call`], but once there is a connection nothing is sent unless `still` says so.
+    pub async fn call_if(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        limit_s: f64,
+        still: impl Fn() -> bool,
     ) -> Result<(u16, Vec<u8>), CallError> {
         let deadline = self.rt.now() + limit_s;
         let mut stream = match self.take_idle() {
@@ -460,6 +472,9 @@
                 }
             }
         };
+        if !still() {
+            return Err(CallError::NotSent("no longer wanted".into()));
+        }
         let mut out = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.to).into_bytes();
         if let Some(body) = body {
             out.extend_from_slice(
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -240,6 +240,7 @@
                 inherited: true,
                 state: None,
                 sent: false,
+                direct: None,
                 stop: ended.then_some(0.0),
                 placed: now,
                 running_since: None,
@@ -484,6 +485,7 @@
             inherited: false,
             state: None,
             sent: false,
+            direct: None,
             stop: None,
             placed: now,
             running_since: None,
@@ -704,7 +706,7 @@
         };
         match outcome {
             TxnOutcome::Applied(_) => {
-                self.applied();
+                self.applied(now);
                 AfterTxn::Go
             }
             TxnOutcome::Unknown => {
@@ -747,13 +749,13 @@
     }
 
     /// Whether the transaction under way was found applied at this revision; 0: it was not.
-    pub fn read_back(&mut self, revision: u64) {
+    pub fn read_back(&mut self, revision: u64, now: Time) {
         if revision > 0 {
-            self.applied();
+            self.applied(now);
         }
     }
 
-    fn applied(&mut self) {
+    fn applied(&mut self, now: Time) {
         let Some(flight) = self.in_flight.take() else {
             return;
         };
@@ -763,6 +765,9 @@
                     job.stored(task, what, number);
                     self.log.enter(number, ix, task);
                 }
+                if let Told::Bound(_) = what {
+                    self.launch_ready(ix, task, now);
+                }
             }
         }
         for number in flight.gone {
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,7 +17,7 @@
 use crate::config::Config;
 use crate::election::{self, Kept, Tenure};
 use crate::expect::Expected;
-use crate::fleet::Source;
+use crate::fleet::{DirectMessage, DirectOutcome, Source};
 use crate::http::{CallError, Client, Request, Response, ServerLimits, serve};
 use crate::lead::{AfterTxn, Lead, TxnOutcome};
 use crate::rt::{Bucket, Pulse, Rt, Scope, Signal, Time};
@@ -64,9 +64,12 @@
 /// not to be sent users.
 const STATE_LOST_REPORTS: f64 = 1.5;
 /// Direct messages to workers under way at once.
-const DIRECT_MAX: usize = 6;
+const DIRECT_MAX: usize = 24;
 /// Interval of direct messages to one worker, and their time limit, in report intervals.
 const DIRECT_REPORTS: f64 = 0.5;
+/// Bounds of that time limit.
+const DIRECT_S_MIN: f64 = 1.0;
+const DIRECT_S_MAX: f64 = 2.0;
 /// A leader without reports for so many intervals resigns when another hears workers.
 const DEAF_REPORTS: f64 = 1.3;
 /// So many workers that can't reach the leader are told of.
@@ -1009,7 +1012,8 @@
                 AfterTxn::ReadBack(key) => {
                     if let Ok(found) = self.store.get(&key).await {
                         let revision = found.map_or(0, |f| f.version);
-                        self.with_lead(token, |lead| lead.read_back(revision));
+                        let now = self.now();
+                        self.with_lead(token, |lead| lead.read_back(revision, now));
                     }
                 }
                 AfterTxn::Lost => {
@@ -1030,40 +1034,49 @@
                 lead.directs(now, gap, DIRECT_MAX.saturating_sub(scope.live()))
             })
             .unwrap_or_default();
-        for (addr, session, commands) in wanted {
+        let limit_s = gap.clamp(DIRECT_S_MIN, DIRECT_S_MAX);
+        for message in wanted {
             let node = self.clone();
             scope.spawn(async move {
-                let body = Direct {
-                    token,
-                    session,
-                    commands,
-                };
-                let Ok(body) = serde_json::to_vec(&body) else {
-                    return;
-                };
-                let client = Client::new(&node.rt, addr, OUTSIDE_BODY_MAX);
-                if node.acting() != Some(token) {
-                    return;
-                }
-                let answer = client
-                    .call("POST", path::COMMANDS, Some(&body), gap.max(1.0))
-                    .await;
-                if let Ok((200 | 409, body)) = answer
-                    && let Ok(report) = serde_json::from_slice::<Report>(&body)
-                {
-                    let now = node.now();
-                    node.with_lead(token, |lead| {
-                        if report.token <= token {
-                            lead.last_report = now;
-                            lead.on_report(&report, Source::Direct, now);
-                        }
-                    });
-                    node.work.set();
+                let machine = message.machine;
+                let outcome = node.send_direct(token, message, limit_s).await;
+                let now = node.now();
+                // What became of it is noted even if the lease is not trusted at this moment.
+                if let Some(lead) = node.lead.borrow_mut().as_mut().filter(|l| l.token == token) {
+                    lead.on_direct(machine, outcome, now);
                 }
+                node.work.set();
             });
         }
     }
 
+    async fn send_direct(&self, token: u64, message: DirectMessage, limit_s: f64) -> DirectOutcome {
+        let body = Direct {
+            token,
+            session: message.session,
+            commands: message.commands,
+        };
+        let Ok(body) = serde_json::to_vec(&body) else {
+            return DirectOutcome::NotSent;
+        };
+        let client = Client::new(&self.rt, message.addr, OUTSIDE_BODY_MAX);
+        let answer = client
+            .call_if("POST", path::COMMANDS, Some(&body), limit_s, || {
+                self.acting() == Some(token)
+            })
+            .await;
+        match answer {
+            Ok((200, body)) => {
+                serde_json::from_slice(&body).map_or(DirectOutcome::Unknown, DirectOutcome::Done)
+            }
+            Ok((409, body)) => {
+                serde_json::from_slice(&body).map_or(DirectOutcome::Unknown, DirectOutcome::Refused)
+            }
+            Ok(_) | Err(CallError::Unknown(_)) => DirectOutcome::Unknown,
+            Err(CallError::NotSent(_)) => DirectOutcome::NotSent,
+        }
+    }
+
     // ---- the cloud
 
     async fn cloud_duty(self: Rc<Self>) {
