--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -102,8 +102,9 @@
 const LIST_LAGS: f64 = 0.8;
 /// Interval of asking for prices, in leases of the workers.
 const TYPES_LEASES: f64 = 3.0;
-/// Sizing interval in report intervals.
+/// Sizing interval in report intervals, and the longest.
 const SIZING_REPORTS: f64 = 0.3;
+const SIZING_S_MAX: f64 = 1.0;
 /// Kinds that cost at most this much more than a class's cheapest count as cheap.
 const CHEAP: f64 = 1.6;
 /// Time for a backlog of which nothing is expected, in boot times.
@@ -235,7 +236,8 @@
     pub fn tend(&mut self, now: Time) {
         self.expire(now);
         self.find_lost(now);
-        let interval = self.config.deployment.workers.report_s * SIZING_REPORTS;
+        let report_s = self.config.deployment.workers.report_s;
+        let interval = (report_s * SIZING_REPORTS).min(SIZING_S_MAX);
         if now - self.cloud.sized_at >= interval {
             self.cloud.sized_at = now;
             self.size(now);
@@ -255,6 +257,7 @@
         // only the workers' leases tell.
         let trusted = heard * 2 >= up().count()
             && (heard < 2 || now - self.last_report < w.report_s * HEARING_REPORTS);
+        let mute = self.is_mute();
         let mut lost = Vec::new();
         for (ix, m) in &self.fleet.machines {
             if m.leaving {
@@ -266,8 +269,11 @@
                     .values()
                     .all(|s| s.over || s.running_since.is_none())
                     || now - m.cool_until > w.lease_s
-            } else if m.is_haunted(now, w.report_s * t.silent_reports) {
+            } else if m.is_haunted(now, silent_s) {
                 true
+            } else if let Some(since) = m.deaf_since {
+                // What is on it ends with its worker's lease: nothing renews that.
+                trusted && !mute && now - since > silent_s
             } else if let Some(h) = m.heard {
                 trusted && now - h > silent_s
             } else if let Some(up_at) = m.listed_running {
@@ -434,6 +440,14 @@
                 k[3] += m.used.largest_share(m.capacity);
             }
         }
+        let count = |f: fn(&crate::fleet::Machine) -> bool| {
+            self.fleet.machines.values().filter(|m| f(m)).count()
+        };
+        tracing::debug!(
+            "{} skipped a report, {} deaf",
+            count(|m| m.skips > 0),
+            count(|m| m.deaf_since.is_some())
+        );
         for ((type_ix, spot), [coming, up, draining, used]) in kinds {
             tracing::debug!(
                 "{} spot {spot}: {coming} coming, {up} up, {draining} draining, {used:.1} used",
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -119,6 +119,8 @@
     pub heard: Option<Time>,
     /// When the last report was received that was answered 200 in this tenure.
     pub answered: Option<Time>,
+    /// Whether that was not the first one.
+    answered_before: bool,
     /// When this leader came to know it.
     pub since: Time,
     /// When it was rented, as far as known.
@@ -151,6 +153,11 @@
     pub direct_tried: Time,
     /// A direct message is under way.
     pub direct_live: bool,
+    /// Reports in a row before which the worker made others that did not come here: it did not hear
+    /// the answers, or went to other controllers.
+    pub skips: u32,
+    /// Since when it seems not to hear the answers.
+    pub deaf_since: Option<Time>,
     /// Exited attempts of this session that are not to be reaped, see [`Slot::may_return`].
     kept: HashSet<(String, u64)>,
 }
@@ -159,6 +166,12 @@
 const IMAGES_KEPT: usize = 8;
 /// Part of the time in which a job is to start that its launch may wait for a report.
 const LAUNCH_WAIT_SHARE: f64 = 0.1;
+/// Report intervals after which a silent machine gets nothing new.
+const QUIET_REPORTS: f64 = 2.0;
+/// So many deaf machines, and most of all, tell of the leader and not of them.
+const MUTE_MIN: usize = 3;
+/// After so many reports in a row that show no hearing a machine counts as deaf.
+const DEAF_SKIPS: u32 = 2;
 /// Commands in one answer, so that its only line stays short.
 const COMMANDS_MAX: usize = 400;
 
@@ -176,6 +189,7 @@
             token: 0,
             heard: None,
             answered: None,
+            answered_before: false,
             since: now,
             rented: now,
             listed_running: None,
@@ -197,6 +211,8 @@
             launch_wanted: false,
             direct_tried: f64::NEG_INFINITY,
             direct_live: false,
+            skips: 0,
+            deaf_since: None,
             kept: HashSet::new(),
         }
     }
@@ -252,6 +268,18 @@
         };
     }
 
+    /// A worker that hears the answers makes one report after the other here. One whose answers are
+    /// lost tries other controllers in between, and in the end its session with them.
+    fn note_hearing(&mut self, report: &Report, now: Time) {
+        let heard = (report.session, report.seq) == (self.session, self.seq + 1);
+        self.skips = if heard { 0 } else { self.skips + 1 };
+        if self.skips < DEAF_SKIPS {
+            self.deaf_since = None;
+        } else {
+            self.deaf_since.get_or_insert(now);
+        }
+    }
+
     fn finish_slot(&mut self, key: &SlotKey) {
         if let Some(slot) = self.slots.get_mut(key)
             && !slot.over
@@ -322,21 +350,24 @@
 }
 
 impl Lead {
-    /// Takes in a report; returns what its answer should carry in any case. Only the answer to a
-    /// worker's own report may carry launches, see [`Lead::answer_commands`]: those are never
-    /// carried out late.
-    pub fn on_report(&mut self, report: &Report, source: Source, now: Time) -> Vec<Command> {
+    /// Takes in a report; returns what its answer should carry in any case, None if it tells nothing
+    /// new: it may be a late copy, and its answer carries no commands then. What else the answer to
+    /// a worker's own report carries see [`Lead::answer_commands`].
+    pub fn on_report(
+        &mut self,
+        report: &Report,
+        source: Source,
+        now: Time,
+    ) -> Option<Vec<Command>> {
         // A report of a machine whose return the cloud has confirmed was held back on its way:
         // the machine is gone, and entering it anew would only have it returned once more.
         if self.cloud.is_returned(&report.machine) {
-            return Vec::new();
+            return None;
         }
         let ix = self.fleet.enter(&report.machine, &report.zone, now);
         let type_ix = self.type_by_name(&report.type_name);
         let capacity = type_ix.map(|t| self.capacity_of(t));
-        let Some(m) = self.fleet.machines.get_mut(&ix) else {
-            return Vec::new();
-        };
+        let m = self.fleet.machines.get_mut(&ix)?;
         m.addr = report.addr.parse().ok().or(m.addr);
         m.zone = if *m.zone == *report.zone {
             m.zone.clone()
@@ -348,13 +379,14 @@
             m.type_ix = Some(t);
             m.capacity = capacity;
         }
+        m.answered_before = m.answered.is_some();
         if source == Source::Checkin {
             m.answered = Some(now);
         }
         // An older message than one already seen tells nothing, and nothing is sent with its
         // answer: the worker may have given up on it.
         if (report.session, report.seq) <= (m.session, m.seq) {
-            return Vec::new();
+            return None;
         }
         if report.session > m.session {
             // Direct messages to an earlier session are refused from now on.
@@ -363,6 +395,9 @@
                 slot.direct = None;
             }
         }
+        if source == Source::Checkin && m.answered_before {
+            m.note_hearing(report, now);
+        }
         m.session = report.session;
         m.seq = report.seq;
         m.token = m.token.max(report.token);
@@ -413,14 +448,12 @@
         self.on_absent(ix, &seen, source, fenced, now);
         self.heed_notice(ix, now);
         let rule = self.rule;
-        let Some(m) = self.fleet.machines.get_mut(&ix) else {
-            return Vec::new();
-        };
+        let m = self.fleet.machines.get_mut(&ix)?;
         if m.capacity.cpus > 0.0 {
             m.price = rule.price_of_load(m.used.largest_share(m.capacity));
         }
         self.changed = true;
-        commands
+        Some(commands)
     }
 
     /// Adds to the answer of a worker's own report what it is to do now. A report that is no
@@ -472,6 +505,12 @@
             if matches!(why, Why::Error | Why::Other | Why::Unknown) {
                 self.on_task_error(key.job, ix, now);
             }
+            if why == Why::Busy
+                && let Some(job) = self.jobs.get_mut(&key.job)
+            {
+                // Another attempt, perhaps one that must not be reaped, is in the way there.
+                job.failed_on.insert(ix);
+            }
             self.off(ix, key, now);
         }
         true
@@ -786,13 +825,22 @@
         }
     }
 
-    /// Tasks on machines whose worker has been silent for longer than its lease are off.
+    /// Tasks on machines whose worker has been silent for longer than its lease are off. What a
+    /// silent or deaf machine was never told of can go elsewhere sooner.
     pub fn expire(&mut self, now: Time) {
         let mut off = Vec::new();
-        for (ix, m) in &self.fleet.machines {
+        for (ix, m) in self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| !m.slots.is_empty())
+        {
             let last = m.answered.unwrap_or(self.began).max(self.began);
-            if now - last > self.off_after_s && !m.slots.is_empty() {
+            if now - last > self.off_after_s {
                 off.extend(m.slots.keys().map(|k| (*ix, *k)));
+            } else if self.is_quiet(m, now) || m.deaf_since.is_some() {
+                let unsent = m.slots.iter().filter(|(_, s)| s.is_unsent());
+                off.extend(unsent.map(|(k, _)| (*ix, *k)));
             }
         }
         for (ix, key) in off {
@@ -800,6 +848,21 @@
         }
     }
 
+    /// Whether a machine has been silent for longer than its reports are apart.
+    pub(crate) fn is_quiet(&self, m: &Machine, now: Time) -> bool {
+        let quiet = self.config.deployment.workers.report_s * QUIET_REPORTS;
+        m.heard.is_none_or(|t| now - t >= quiet)
+    }
+
+    /// Whether the answers of this leader reach hardly any worker.
+    pub fn is_mute(&self) -> bool {
+        let up = self.fleet.machines.values().filter(|m| m.is_up());
+        let (deaf, all) = up.fold((0, 0), |(deaf, all), m| {
+            (deaf + usize::from(m.deaf_since.is_some()), all + 1)
+        });
+        deaf >= MUTE_MIN && deaf * 2 > all
+    }
+
     /// A machine and all that is on it is gone.
     pub(crate) fn machine_gone(&mut self, ix: MachineIx, now: Time) {
         let keys: Vec<SlotKey> = match self.fleet.machines.get(&ix) {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -110,7 +110,7 @@
 }
 
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
-pub const LEADER_WRITE_SHARE: f64 = 0.7;
+pub const LEADER_WRITE_SHARE: f64 = 0.5;
 /// Completions and releases may wait this long, in report intervals, to be written together.
 const LAZY_WRITE_REPORTS: f64 = 0.25;
 /// One write in so many of the leader's is for the log.
--- a/src/node.rs
+++ b/src/node.rs
@@ -52,6 +52,9 @@
 const FOLLOW_STALE_S: f64 = 0.4;
 /// Shortest time between two rounds of the leader's duty, so that reports are taken in groups.
 const DUTY_GAP_S: f64 = 0.03;
+/// Interval in which the leader looks after machines, in report intervals, and the longest.
+const TEND_REPORTS: f64 = 0.15;
+const TEND_S_MAX: f64 = 0.5;
 /// How long the answer to a report waits for a placement round, in report intervals.
 const HOLD_REPORTS: f64 = 0.15;
 /// Pause after the state service refused or didn't answer.
@@ -569,7 +572,12 @@
                 let commands = lead.on_report(&report, Source::Checkin, now);
                 (commands, lead.has_work_waiting())
             });
-            if let Some((mut commands, work_waits)) = taken {
+            if let Some((None, _)) = taken {
+                // Nothing new: perhaps a late copy.
+                let commands = Vec::new();
+                return Response::json(200, &ReportReply { token, commands });
+            }
+            if let Some((Some(mut commands), work_waits)) = taken {
                 self.work.set();
                 if work_waits {
                     // What this report makes room for can go out with its answer, once stored.
@@ -945,7 +953,7 @@
 
     /// The leader's round: look after machines, place, write, tell workers.
     async fn leader_duty(self: Rc<Self>) {
-        let tick = self.config.deployment.workers.report_s * 0.15;
+        let tick = (self.config.deployment.workers.report_s * TEND_REPORTS).min(TEND_S_MAX);
         let directs = Rc::new(Scope::new(&self.rt));
         let mut tended_at = f64::NEG_INFINITY;
         loop {
@@ -966,13 +974,20 @@
             };
             let now = self.now();
             let begun = self.with_lead(token, |lead| {
-                if now - tended_at >= tick {
+                let tending = now - tended_at >= tick;
+                if tending {
                     lead.tend(now);
                 }
                 lead.plan(now);
+                tending && lead.is_mute()
             });
-            if begun.is_none() {
-                continue;
+            match begun {
+                None => continue,
+                Some(false) => {}
+                Some(true) => {
+                    tracing::warn!("the workers don't hear this leader");
+                    self.resign.set();
+                }
             }
             if now - tended_at >= tick {
                 tended_at = now;
@@ -1080,7 +1095,7 @@
     // ---- the cloud
 
     async fn cloud_duty(self: Rc<Self>) {
-        let tick = self.config.deployment.workers.report_s * 0.3;
+        let tick = (self.config.deployment.workers.report_s * TEND_REPORTS).min(TEND_S_MAX) * 2.0;
         loop {
             let now = self.now();
             let call = self
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -68,7 +68,7 @@
     store.settle(&mut old, 2.0);
     // The old leader's answer with the launch is under way when another takes over.
     let report = w.next();
-    let mut late = old.on_report(&report, Source::Checkin, 2.5);
+    let mut late = old.on_report(&report, Source::Checkin, 2.5).unwrap();
     old.answer_commands(&report, &mut late);
     assert_eq!(starts(&late), 1);
 
@@ -125,9 +125,9 @@
     // the attempt once more.
     let mut new = store.elect("n1", 10.0);
     let first = new.on_report(&w.next(), Source::Checkin, 11.0);
-    assert_eq!(first, []);
+    assert_eq!(first, Some(Vec::new()));
     w.report.token = new.token;
-    let second = new.on_report(&w.next(), Source::Checkin, 12.0);
+    let second = new.on_report(&w.next(), Source::Checkin, 12.0).unwrap();
     assert!(
         matches!(&second[..], [Command::Forget { .. }]),
         "{second:?}"
@@ -580,7 +580,7 @@
     let names = vec!["i-1".to_owned()];
     lead.on_cloud(CloudCall::Delete(names), CloudAnswer::Deleted, 5.0);
     assert!(lead.fleet.find("i-1").is_none());
-    assert_eq!(lead.on_report(&late, Source::Checkin, 20.0), []);
+    assert_eq!(lead.on_report(&late, Source::Checkin, 20.0), None);
     assert!(lead.fleet.find("i-1").is_none());
 }
 
@@ -905,3 +905,91 @@
     let sent = again.iter().map(|m| starts(&m.commands)).sum::<usize>() + starts(&commands);
     assert_eq!(sent, 1);
 }
+
+/// Its reports come, our answers don't reach it: it must not collect work, and it must go.
+#[test]
+fn a_machine_that_does_not_hear_gets_no_work_and_is_returned() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 2));
+    let mut lead = store.elect("n0", 0.0);
+    let mut others: Vec<FakeWorker> = (1..4)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let mut deaf = FakeWorker::new("i-9", "small", "north");
+    meet(&mut deaf, &mut lead, 1.0);
+    store.settle(&mut lead, 1.0);
+    deaf.checkin(&mut lead, 1.5);
+    assert_eq!(deaf.running().len(), 2);
+    // From now on it tries all controllers in turn, and its session ends.
+    let mut now = 3.0;
+    let mut gone = Vec::new();
+    let mut sessions = 1;
+    while gone.is_empty() {
+        now += 5.0;
+        assert!(now < 60.0);
+        if now > 20.0 && sessions == 1 {
+            sessions = 2;
+            deaf.report.session = 2;
+            deaf.report.tasks.clear();
+        }
+        deaf.report.seq += 2;
+        lead.on_report(&deaf.report.clone(), Source::Checkin, now);
+        for w in &mut others {
+            w.checkin(&mut lead, now);
+        }
+        lead.last_report = now;
+        store.settle(&mut lead, now);
+        lead.tend(now);
+        let m = &lead.fleet.machines[&lead.fleet.find("i-9").unwrap()];
+        assert!(m.slots.values().all(|s| s.state.is_some()), "new work");
+        gone = returned(&mut lead, now);
+        gone.retain(|name| name == "i-9");
+    }
+    assert!(now < 30.0, "{now}");
+}
+
+/// A copy of the newest report has the same number as the report itself; its answer once carried
+/// launches that nobody got.
+#[test]
+fn late_copies_of_reports_get_no_commands_and_free_nothing() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 2));
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    w.checkin(&mut lead, 1.0);
+    let old = w.next();
+    let mut commands = lead.on_report(&old, Source::Checkin, 1.5).unwrap();
+    lead.answer_commands(&old, &mut commands);
+    store.settle(&mut lead, 2.0);
+    assert_eq!(lead.on_report(&old, Source::Checkin, 2.1), None);
+    assert_eq!(starts(&w.checkin(&mut lead, 2.2)), 2);
+    w.checkin(&mut lead, 3.0);
+    // Long after a lease, the copy from before the launch.
+    for now in [4.0, 30.0, 60.0] {
+        assert_eq!(lead.on_report(&old, Source::Checkin, now), None);
+        assert_eq!(lead.jobs.values().next().unwrap().bound, 2);
+    }
+    // A new leader hears the copy first: it shows an older token and frees nothing.
+    let mut new = store.elect("n1", 70.0);
+    new.on_report(&old, Source::Checkin, 71.0);
+    assert_eq!(new.jobs.values().next().unwrap().bound, 2);
+    store.settle(&mut new, 71.5);
+    let m = new.fleet.machines.values().next().unwrap();
+    assert_eq!(m.slots.len(), 2);
+}
+
+/// Work bound to a machine that fell silent before it was told once waited for its whole lease.
+#[test]
+fn what_a_silent_machine_was_never_told_goes_elsewhere() {
+    let (mut store, mut lead, _silent) = placed(&job("j-1", 2));
+    let mut other = FakeWorker::new("i-2", "small", "north");
+    let mut now = 2.0;
+    while other.running().len() < 2 {
+        now += 1.0;
+        assert!(now < 10.0);
+        meet(&mut other, &mut lead, now);
+        lead.expire(now);
+        store.settle(&mut lead, now);
+        other.checkin(&mut lead, now);
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -15,8 +15,6 @@
 const RUN_MARGIN: f64 = 1.3;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
-/// Report intervals after which a silent machine gets nothing new.
-const QUIET_REPORTS: f64 = 2.0;
 
 /// A machine as one placement pass sees it.
 struct Place {
@@ -92,8 +90,8 @@
 
     /// Whether a machine may be given work: it has shown our token and nothing speaks against it.
     fn is_open(&self, m: &Machine, now: Time) -> bool {
-        let quiet = self.config.deployment.workers.report_s * QUIET_REPORTS;
-        m.heard.is_some_and(|t| now - t < quiet)
+        !self.is_quiet(m, now)
+            && m.skips == 0
             && m.token >= self.token
             && !m.leaving
             && !m.draining
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -209,7 +209,9 @@
     /// Reports to a leader and carries out its answer; returns the commands.
     pub fn checkin(&mut self, lead: &mut Lead, now: Time) -> Vec<Command> {
         let report = self.next();
-        let mut commands = lead.on_report(&report, Source::Checkin, now);
+        let Some(mut commands) = lead.on_report(&report, Source::Checkin, now) else {
+            return Vec::new();
+        };
         lead.answer_commands(&report, &mut commands);
         self.execute(lead.token, &commands);
         commands
