Rule: only a machine's own reports open it; what it shows directly counts until its lease

Excluded: the log of tasks, copies of reports, deletions by the cloud. Placement needs a report of the machine's own; expiry counts from the last thing heard of it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -115,8 +115,10 @@
     pub seq: u64,
     /// Highest token its worker has shown.
     pub token: u64,
-    /// When this tenure last had a report from it.
+    /// When this tenure last learnt something new from it, by a report or a direct message.
     pub heard: Option<Time>,
+    /// When it last reported something new by itself: only that renews its worker's lease.
+    pub reported: Option<Time>,
     /// When the last report was received that was answered 200 in this tenure.
     pub answered: Option<Time>,
     /// Whether that was not the first one.
@@ -188,6 +190,7 @@
             seq: 0,
             token: 0,
             heard: None,
+            reported: None,
             answered: None,
             answered_before: false,
             since: now,
@@ -402,6 +405,9 @@
         m.seq = report.seq;
         m.token = m.token.max(report.token);
         m.heard = Some(now);
+        if source == Source::Checkin {
+            m.reported = Some(now);
+        }
         m.notice = report.notice_s.map(|s| now + s);
         let fenced = report.token >= self.token;
 
@@ -835,7 +841,9 @@
             .iter()
             .filter(|(_, m)| !m.slots.is_empty())
         {
-            let last = m.answered.unwrap_or(self.began).max(self.began);
+            // Known by direct messages alone, its session may have begun just before the last.
+            let last = [m.answered, m.heard].into_iter().flatten();
+            let last = last.fold(self.began, f64::max);
             if now - last > self.off_after_s {
                 off.extend(m.slots.keys().map(|k| (*ix, *k)));
             } else if self.is_quiet(m, now) || m.deaf_since.is_some() {
@@ -848,10 +856,11 @@
         }
     }
 
-    /// Whether a machine has been silent for longer than its reports are apart.
+    /// Whether a machine has been silent for longer than its reports are apart, whatever it answered
+    /// to direct messages.
     pub(crate) fn is_quiet(&self, m: &Machine, now: Time) -> bool {
         let quiet = self.config.deployment.workers.report_s * QUIET_REPORTS;
-        m.heard.is_none_or(|t| now - t >= quiet)
+        m.reported.is_none_or(|t| now - t >= quiet)
     }
 
     /// Whether the answers of this leader reach hardly any worker.
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -993,3 +993,35 @@
         other.checkin(&mut lead, now);
     }
 }
+
+/// A worker whose own reports went astray while it heard direct messages once got launches by these,
+/// and counted as expired a moment later: its tasks were started elsewhere beside it.
+#[test]
+fn a_machine_known_by_direct_messages_alone_gets_no_work_and_keeps_what_it_shows() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    // Long after the tenure began it answers a call, as a machine that was just rented does.
+    let call = |lead: &mut Lead, w: &mut FakeWorker, now: f64| {
+        lead.call_on("i-1", "north", "127.0.0.1:9", 1, now);
+        w.execute(lead.token, &[]);
+        let ix = lead.fleet.find("i-1").unwrap();
+        lead.on_direct(ix, DirectOutcome::Done(w.next()), now);
+    };
+    call(&mut lead, &mut w, 100.0);
+    store.settle(&mut lead, 100.0);
+    assert_eq!(lead.jobs.values().next().unwrap().bound, 0);
+    // It reports once, and is launched on; after that only its answers to messages come.
+    w.checkin(&mut lead, 101.0);
+    store.settle(&mut lead, 101.0);
+    w.checkin(&mut lead, 102.0);
+    assert_eq!(w.running(), ["j-1/0"]);
+    w.report.session = 2;
+    for step in 0..12 {
+        let now = 103.0 + f64::from(step) * 3.0;
+        call(&mut lead, &mut w, now);
+        lead.expire(now);
+        assert_eq!(lead.jobs.values().next().unwrap().bound, 1);
+    }
+}
