Dear machines for the expected level and for what would wait too long, not for all that waits

Cause: at Ermis a backlog asked for dear machines by the whole queue; they were drained 20 s after they came up while 2,500 tasks still waited (debug log, 200 to 290 s), paid for a minute each.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -121,7 +121,9 @@
 /// Waits shorter than this many boot times can only be kept with machines that are up already.
 const TIGHT_BOOTS: f64 = 1.5;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
-const BACKLOG_SHARE: f64 = 0.25;
+const BACKLOG_SHARE: f64 = 0.5;
+/// A queue of this part of that time is no backlog.
+const QUEUE_SHARE: f64 = 0.25;
 /// The owners' estimates count for as much as so many run times seen.
 const RUNS_MIN: f64 = 20.0;
 /// Large work is to start within this part of the time it may wait.
@@ -521,10 +523,16 @@
         } else {
             boot_s * BACKLOG_BOOTS
         };
-        // The level covers what comes meanwhile; a backlog asks for more only once it is larger.
-        let mut lean = level.max(class.pending * (run_s / horizon));
+        // The level covers what comes meanwhile. Work may wait a little: only what would wait for
+        // longer asks for more, and not for as much as would be idle a moment later.
+        let flow = level.max(class.bound) / run_s;
+        let enough = |waits: f64| {
+            let late = (waits - flow * horizon * QUEUE_SHARE).max(0.0);
+            level + late * run_s / horizon
+        };
+        let mut lean = enough(class.pending);
         let found = class.pending + (level - class.bound) / run_s * boot_s;
-        let mut rent = level.max(found * (run_s / horizon)).min(lean);
+        let mut rent = enough(found).min(lean);
         if self.is_large_class(class) && wait.is_finite() {
             lean = self.large_lean(class, wait, now);
             rent = lean;
