--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -236,6 +236,8 @@
 
     /// Looks after machines: lost ones, needed ones, unneeded ones.
     pub fn tend(&mut self, now: Time) {
+        // Pauses of machines and jobs end without a word.
+        self.changed = true;
         self.expire(now);
         self.find_lost(now);
         let report_s = self.config.deployment.workers.report_s;
@@ -489,7 +491,7 @@
             .min()
     }
 
-    fn is_large_on(&self, amount: Amount, type_ix: usize) -> bool {
+    pub(crate) fn is_large_on(&self, amount: Amount, type_ix: usize) -> bool {
         amount.largest_share(self.capacity_of(type_ix)) > self.config.tunables.large_share
     }
 
@@ -794,6 +796,7 @@
                 } else {
                     slot.stop = Some(jobs[&key.job].spec.save_s);
                     m.direct_wanted = true;
+                    self.fleet.calls.insert(ix);
                 }
             }
         }
@@ -1073,6 +1076,7 @@
                 m.listed_running.get_or_insert(now);
                 if m.heard.is_none() {
                     m.direct_wanted = true;
+                    self.fleet.calls.insert(ix);
                 }
             }
             MachineState::Failed => self.give_back(ix, "failed"),
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -17,7 +17,7 @@
     pub host: String,
     /// Seconds since the state service last answered, if it ever did.
     pub state_s: Option<f64>,
-    /// Workers seen lately: where they are, for a new leader to call on.
+    /// Some of the workers seen lately, in turn: where they are, for a new leader to call on.
     pub workers: Vec<WorkerSeen>,
     /// Run times of classes, as seen by this controller.
     #[serde(default)]
@@ -36,33 +36,49 @@
 /// What is known of the other controllers.
 #[derive(Default)]
 pub struct Peers {
-    heard: RefCell<HashMap<String, (Time, Greeting)>>,
+    /// When each was heard, and how long before that it had the state service.
+    heard: RefCell<HashMap<String, (Time, Option<f64>)>>,
+    workers: RefCell<HashMap<String, (Time, WorkerSeen)>>,
 }
 
 impl Peers {
     /// Whether some other controller is served by the state service, as far as heard lately.
     pub fn any_has_state(&self, now: Time, within_s: f64) -> bool {
-        self.heard.borrow().values().any(|(at, g)| {
-            now - at < within_s && g.state_s.is_some_and(|s| s + (now - at) < within_s)
+        self.heard.borrow().values().any(|(at, state_s)| {
+            now - at < within_s && state_s.is_some_and(|s| s + (now - at) < within_s)
         })
     }
 
+    /// Whether some other controller was heard lately.
+    pub fn any_heard(&self, now: Time, within_s: f64) -> bool {
+        let heard = self.heard.borrow();
+        heard.values().any(|(at, _)| now - at < within_s)
+    }
+
     /// Workers that other controllers told of lately.
     pub fn workers(&self, now: Time, within_s: f64) -> Vec<WorkerSeen> {
-        let heard = self.heard.borrow();
-        heard
-            .values()
-            .filter(|(at, _)| now - at < within_s)
-            .flat_map(|(_, g)| g.workers.iter().cloned())
-            .collect()
+        let mut workers = self.workers.borrow_mut();
+        workers.retain(|_, (at, _)| now - *at < within_s);
+        workers.values().map(|(_, w)| w.clone()).collect()
     }
 
     fn note(&self, greeting: Greeting, now: Time) {
-        let host = greeting.host.clone();
-        self.heard.borrow_mut().insert(host, (now, greeting));
+        let mut heard = self.heard.borrow_mut();
+        heard.insert(greeting.host, (now, greeting.state_s));
+        let mut workers = self.workers.borrow_mut();
+        if workers.len() > WORKERS_KEPT {
+            workers.clear();
+        }
+        for worker in greeting.workers {
+            workers.insert(worker.machine.clone(), (now, worker));
+        }
     }
 }
 
+/// Workers told of in one greeting; a whole fleet would be too large for a frame.
+pub const WORKERS_TOLD: usize = 256;
+/// Workers remembered that others told of.
+const WORKERS_KEPT: usize = 16 * 1024;
 /// Largest greeting taken.
 const FRAME_MAX: usize = 64 * 1024;
 /// Links from others at once, per known controller.
@@ -71,7 +87,7 @@
 const SILENT_INTERVALS: f64 = 5.0;
 
 /// Makes the greeting of the moment.
-pub type Greeter = Rc<dyn Fn() -> Greeting>;
+pub type Greeter = Box<dyn Fn() -> Greeting>;
 
 fn encode(greeting: &Greeting) -> Option<Vec<u8>> {
     let mut frame = vec![0; 4];
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What the leader knows of each machine and its worker, and when a task is surely off it.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -320,6 +320,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     pub machines: BTreeMap<MachineIx, Machine>,
+    /// Machines that a direct message may be wanted for.
+    pub calls: BTreeSet<MachineIx>,
     by_name: HashMap<Rc<str>, MachineIx>,
     next: MachineIx,
 }
@@ -370,7 +372,13 @@
         let ix = self.fleet.enter(&report.machine, &report.zone, now);
         let type_ix = self.type_by_name(&report.type_name);
         let capacity = type_ix.map(|t| self.capacity_of(t));
+        let was_open = self
+            .fleet
+            .machines
+            .get(&ix)
+            .is_some_and(|m| self.is_open(m, now));
         let m = self.fleet.machines.get_mut(&ix)?;
+        let before = (m.used, m.suspect);
         m.addr = report.addr.parse().ok().or(m.addr);
         m.zone = if *m.zone == *report.zone {
             m.zone.clone()
@@ -458,7 +466,10 @@
         if m.capacity.cpus > 0.0 {
             m.price = rule.price_of_load(m.used.largest_share(m.capacity));
         }
-        self.changed = true;
+        // A pass is worth its time only if there is room that was not there before.
+        if before != (m.used, m.suspect) || !was_open {
+            self.changed = true;
+        }
         Some(commands)
     }
 
@@ -559,6 +570,7 @@
         if (ended || !bound_here) && slot.stop.is_none() {
             slot.stop = Some(0.0);
             m.direct_wanted = true;
+            self.fleet.calls.insert(ix);
         }
     }
 
@@ -702,22 +714,23 @@
             if m.heard.is_none() {
                 m.session = m.session.max(session);
                 m.direct_wanted = true;
+                self.fleet.calls.insert(ix);
             }
         }
     }
 
     /// Direct messages to send now, `most` at the most.
     pub fn directs(&mut self, now: Time, gap_s: f64, most: usize) -> Vec<DirectMessage> {
-        let due: Vec<(MachineIx, SocketAddr, u64)> = self
-            .fleet
-            .machines
-            .iter()
-            .filter(|(_, m)| {
-                (m.launch_wanted || (m.direct_wanted && now - m.direct_tried > gap_s))
-                    && !m.leaving
-                    && !m.direct_live
-            })
-            .filter_map(|(ix, m)| Some((*ix, m.addr?, m.session)))
+        let machines = &self.fleet.machines;
+        self.fleet.calls.retain(|ix| {
+            let m = machines.get(ix);
+            m.is_some_and(|m| (m.launch_wanted || m.direct_wanted) && !m.leaving)
+        });
+        let calls = self.fleet.calls.iter();
+        let due: Vec<(MachineIx, SocketAddr, u64)> = calls
+            .filter_map(|ix| Some((*ix, machines.get(ix)?)))
+            .filter(|(_, m)| !m.direct_live && (m.launch_wanted || now - m.direct_tried > gap_s))
+            .filter_map(|(ix, m)| Some((ix, m.addr?, m.session)))
             .take(most)
             .collect();
         let mut messages = Vec::new();
@@ -797,6 +810,7 @@
                 .is_some_and(|heard| heard + report_s - now > may_wait)
         {
             m.launch_wanted = true;
+            self.fleet.calls.insert(machine);
         }
     }
 
@@ -823,6 +837,7 @@
             } else {
                 slot.stop = Some(job.spec.save_s);
                 m.direct_wanted = true;
+                self.fleet.calls.insert(ix);
             }
         }
         for job in gangs {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -302,6 +302,7 @@
                 }
                 slot.stop = Some(slot.stop.map_or(grace_s, |g| g.min(grace_s)));
                 m.direct_wanted = true;
+                self.fleet.calls.insert(*machine);
             }
         }
         for (machine, key) in off {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod lead;
 pub mod node;
+pub mod picker;
 pub mod pricing;
 pub mod rt;
 pub mod runlog;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,10 @@
 //! A controller: the routines around the state machines.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::rc::Rc;
 
 use futures_channel::oneshot;
@@ -140,7 +141,7 @@
     /// Beats when the leader has placed and stored what it could.
     round: Pulse,
     cloud_work: Signal,
-    seen: RefCell<HashMap<String, Seen>>,
+    seen: RefCell<BTreeMap<String, Seen>>,
     plea_at: Cell<Time>,
     plea: Cell<Option<u64>>,
     plea_work: Signal,
@@ -184,10 +185,9 @@
             node.expected.clone(),
         ));
         for peer in &config.peers {
-            let greeter = {
-                let node = node.clone();
-                Rc::new(move || node.greeting())
-            };
+            let node = node.clone();
+            let told = RefCell::new(String::new());
+            let greeter = Box::new(move || node.greeting(&mut told.borrow_mut()));
             root.spawn(cluster::greet(rt.clone(), peer.clone(), every_s, greeter));
         }
         root.spawn(node.clone().follow_duty());
@@ -261,21 +261,29 @@
         self.state_heard.set(Some(self.now()));
     }
 
-    fn greeting(&self) -> Greeting {
+    /// What to tell another controller; `told` is the last worker that it was told of.
+    fn greeting(&self, told: &mut String) -> Greeting {
         let now = self.now();
         let lease_s = self.config.deployment.workers.lease_s;
-        self.seen
-            .borrow_mut()
-            .retain(|_, seen| now - seen.at < lease_s);
+        if told.is_empty() {
+            let mut seen = self.seen.borrow_mut();
+            seen.retain(|_, seen| now - seen.at < lease_s);
+        }
+        let seen = self.seen.borrow();
+        let after = (Bound::Excluded(told.as_str()), Bound::Unbounded);
+        let workers: Vec<WorkerSeen> = seen
+            .range::<str, _>(after)
+            .take(cluster::WORKERS_TOLD)
+            .map(|(_, seen)| seen.worker.clone())
+            .collect();
+        *told = workers
+            .last()
+            .map(|w| w.machine.clone())
+            .unwrap_or_default();
         Greeting {
             host: self.config.node.clone(),
             state_s: self.state_heard.get().map(|t| now - t),
-            workers: self
-                .seen
-                .borrow()
-                .values()
-                .map(|s| s.worker.clone())
-                .collect(),
+            workers,
             runs: self.expected.borrow().runs(),
         }
     }
@@ -312,8 +320,11 @@
         let within = self.config.deployment.workers.report_s * STATE_LOST_REPORTS;
         let able = self.loaded.get() && self.view.borrow().types.is_some();
         let served = self.state_heard.get().is_some_and(|t| now - t < within);
-        // Without the state service users are no better off elsewhere, unless others have it.
-        if able && (served || !self.peers.any_has_state(now, within)) {
+        // Without the state service users are no better off elsewhere, unless others have it, or may:
+        // a node that hears no other one either is cut off.
+        let outage = self.config.peers.is_empty()
+            || self.peers.any_heard(now, within) && !self.peers.any_has_state(now, within);
+        if able && (served || outage) {
             Response::json(200, &serde_json::json!({ "ready": true }))
         } else {
             Response::later(503, "not ready", RETRY_S)
@@ -618,11 +629,14 @@
             entry.redirected = Some((now, token));
             entry.astray = (again || report.token == token).then_some(now);
         }
-        let astray = seen
-            .values()
-            .filter(|s| s.astray.is_some_and(|at| now - at < report_s * 2.0))
-            .count();
-        if astray >= ASTRAY_WORKERS && now - self.plea_at.get() > report_s * 0.5 {
+        let gone_astray = seen
+            .get(&report.machine)
+            .is_some_and(|s| s.astray.is_some());
+        if !gone_astray || now - self.plea_at.get() <= report_s * 0.5 {
+            return;
+        }
+        let lately = |s: &&Seen| s.astray.is_some_and(|at| now - at < report_s * 2.0);
+        if seen.values().filter(lately).count() >= ASTRAY_WORKERS {
             self.plea_at.set(now);
             self.plea.set(Some(token));
             self.plea_work.set();
--- a/src/pricing.rs
+++ b/src/pricing.rs
@@ -91,6 +91,33 @@
         price * (1.0 + rise) + rise / self.phi
     }
 
+    /// Where a machine stands in the choice for a task of size `demand`, worth `weight`: the least
+    /// is taken. None if it has no room, or if the task would cost 1 or more there.
+    pub fn key(&self, demand: Amount, weight: f64, c: &Candidate) -> Option<f64> {
+        let cost = c.price / weight;
+        if !demand.fits(c.capacity.minus(c.used)) || cost >= 1.0 {
+            return None;
+        }
+        // A task over half a machine goes to the fullest it fits, all others to the cheapest.
+        let large = demand.largest_share(c.capacity) > self.large_share;
+        Some(if large {
+            -c.used.largest_share(c.capacity) - 1.0
+        } else {
+            cost
+        })
+    }
+
+    /// A machine with one more task of size `demand`.
+    pub fn placed(&self, demand: Amount, c: &Candidate) -> Candidate {
+        let used = c.used.plus(demand);
+        let rise = used.largest_share(c.capacity) - c.used.largest_share(c.capacity);
+        Candidate {
+            used,
+            price: self.after_placement(c.price, rise),
+            ..*c
+        }
+    }
+
     /// Chooses for a task of size `demand`, worth `weight`, among the allowed machines: the index
     /// of the machine and its price afterwards. None if no machine has room at a cost below 1.
     pub fn choose(
@@ -99,25 +126,15 @@
         weight: f64,
         allowed: impl Iterator<Item = (usize, Candidate)>,
     ) -> Option<(usize, f64)> {
-        let mut best: Option<(f64, usize, f64)> = None;
+        let mut best: Option<(f64, usize, Candidate)> = None;
         for (at, c) in allowed {
-            if !demand.fits(c.capacity.minus(c.used)) {
-                continue;
-            }
-            let cost = c.price / weight;
-            if cost >= 1.0 {
-                continue;
-            }
-            let share = c.used.largest_share(c.capacity);
-            let rise = c.used.plus(demand).largest_share(c.capacity) - share;
-            // A task over half a machine goes to the fullest it fits, all others to the cheapest.
-            let large = demand.largest_share(c.capacity) > self.large_share;
-            let key = if large { -share - 1.0 } else { cost };
-            if best.is_none_or(|(k, _, _)| key < k) {
-                best = Some((key, at, self.after_placement(c.price, rise)));
+            if let Some(key) = self.key(demand, weight, &c)
+                && best.as_ref().is_none_or(|(least, ..)| key < *least)
+            {
+                best = Some((key, at, c));
             }
         }
-        best.map(|(_, at, price)| (at, price))
+        best.map(|(_, at, c)| (at, self.placed(demand, &c).price))
     }
 }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,9 +4,10 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use crate::book::{Job, JobIx, MachineIx, rank};
+use crate::book::{Job, JobIx, MachineIx, amount, rank};
 use crate::fleet::{Machine, Role};
-use crate::lead::Lead;
+use crate::lead::{Lead, type_allowed};
+use crate::picker::{Picker, Tier};
 use crate::pricing::{Amount, Candidate};
 use crate::rt::Time;
 use crate::wire::{Priority, Submission};
@@ -30,8 +31,29 @@
     now: Candidate,
 }
 
-/// Machines that cost at most this much more than the cheapest allowed ones are tried first.
-const CHEAP: f64 = 1.6;
+/// Work that found no room in a pass: no more of its kind needs to be tried there.
+struct NoRoom {
+    spec: Rc<Submission>,
+    tasks: u32,
+}
+
+impl NoRoom {
+    /// Whether it follows that so many tasks of another job find none either.
+    fn tells(&self, spec: &Submission, tasks: u32) -> bool {
+        let a = &self.spec;
+        tasks >= self.tasks
+            && amount(a).fits(amount(spec))
+            && (a.priority, a.spot, a.one_zone, a.spread, &a.zone, &a.types)
+                == (
+                    spec.priority,
+                    spec.spot,
+                    spec.one_zone,
+                    spec.spread,
+                    &spec.zone,
+                    &spec.types,
+                )
+    }
+}
 
 impl Lead {
     /// Places what can be placed. What it decides is launched once it is stored.
@@ -42,6 +64,9 @@
         let lend: Vec<Option<Priority>> = (0..self.types.len())
             .map(|type_ix| self.lend_below(type_ix))
             .collect();
+        let costs: Vec<[f64; 2]> = (0..self.types.len())
+            .map(|t| [self.unit_price(t, false), self.unit_price(t, true)])
+            .collect();
         let mut places: Vec<Place> = self
             .fleet
             .machines
@@ -59,7 +84,7 @@
                         .copied()
                         .flatten()
                         .filter(|_| m.surplus_since.is_none()),
-                    cost: self.unit_price(m.type_ix?, m.spot),
+                    cost: costs[m.type_ix?][usize::from(m.spot)],
                     now: Candidate {
                         capacity: m.capacity,
                         used: m.used,
@@ -71,25 +96,30 @@
         if places.is_empty() {
             return;
         }
+        let mut no_room: Vec<NoRoom> = Vec::new();
         for ix in self.order(now) {
-            if self.jobs[&ix].is_gang() {
-                self.place_gang(ix, &mut places, now);
+            let job = &self.jobs[&ix];
+            let spec = job.spec.clone();
+            let tasks = if job.is_gang() { spec.tasks } else { 1 };
+            if no_room.iter().any(|n| n.tells(&spec, tasks)) {
+                continue;
+            }
+            let found = if self.jobs[&ix].is_gang() {
+                self.place_gang(ix, &mut places, now)
             } else {
-                self.place_array(ix, &mut places, now);
+                self.place_array(ix, &mut places, now)
+            };
+            if !found {
+                no_room.push(NoRoom { spec, tasks });
             }
             if self.jobs[&ix].pending() == 0 {
                 self.active.remove(&ix);
             }
         }
-        for p in &places {
-            if let Some(m) = self.fleet.machines.get_mut(&p.ix) {
-                m.price = p.now.price;
-            }
-        }
     }
 
     /// Whether a machine may be given work: it has shown our token and nothing speaks against it.
-    fn is_open(&self, m: &Machine, now: Time) -> bool {
+    pub(crate) fn is_open(&self, m: &Machine, now: Time) -> bool {
         !self.is_quiet(m, now)
             && m.skips == 0
             && m.token >= self.token
@@ -179,52 +209,44 @@
         order.into_iter().map(|(.., ix)| ix).collect()
     }
 
-    fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) {
+    /// Places what it can of an array's tasks; false if machines had no room for more of them.
+    fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> bool {
         let job = &self.jobs[&ix];
         let spec = job.spec.clone();
         let amount = job.amount();
         let team = job.team;
-        let weight = self.config.tunables.weights[rank(spec.priority)];
-        let zones = self.zones_taken(ix);
-        let mut zones = Zones::new(&spec, zones);
+        let mut zones = Zones::new(&spec, self.zones_taken(ix));
+        let mut picker = self.picker(ix, places, |_| true);
         let attempt = self.fresh_attempt();
-        loop {
+        while self.jobs[&ix].pending() > 0 {
             if !self.team_allows(team, amount) {
-                return;
+                return true;
             }
-            let allowed: Vec<(usize, Candidate)> = places
-                .iter()
-                .enumerate()
-                .filter(|(_, p)| self.is_allowed(&spec, amount, p) && zones.allow(&p.zone))
-                .map(|(at, p)| (at, p.now))
-                .collect();
-            let allowed = self.without_failed(ix, allowed, places);
-            let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
-                return;
+            let Some((at, after)) = picker.pick(|at| zones.allow(&places[at].zone)) else {
+                return false;
             };
             let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
-                return;
+                return true;
             };
             let place = &mut places[at];
-            place.now.price = price;
-            place.now.used = place.now.used.plus(amount);
+            place.now = after;
             zones.add(&place.zone);
-            self.bind(ix, task, place.ix, attempt, now);
+            self.bind_at(ix, task, place, attempt, now);
         }
+        true
     }
 
-    /// All tasks of a gang are placed, or none.
-    fn place_gang(&mut self, ix: JobIx, places: &mut [Place], now: Time) {
+    /// All tasks of a gang are placed, or none; false if machines had no room for all.
+    fn place_gang(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> bool {
         let job = &self.jobs[&ix];
         // Tasks of the former attempt keep their machines and zones until they are off.
         if job.bound > 0 || job.slots > 0 {
-            return;
+            return true;
         }
         let spec = job.spec.clone();
         let amount = job.amount();
-        let weight = self.config.tunables.weights[rank(spec.priority)];
         if !self.team_allows(job.team, amount.times(f64::from(spec.tasks))) {
-            return;
+            return true;
         }
         let mut only: Vec<Option<Rc<str>>> = vec![None];
         if spec.one_zone {
@@ -235,129 +257,87 @@
         }
         for zone in only {
             let mut zones = Zones::new(&spec, HashMap::new());
-            let mut trial: Vec<Candidate> = places.iter().map(|p| p.now).collect();
+            let here = |p: &Place| zone.as_ref().is_none_or(|z| *z == p.zone);
+            let mut picker = self.picker(ix, places, here);
             let mut chosen = Vec::new();
-            for _ in 0..spec.tasks {
-                let allowed: Vec<(usize, Candidate)> = places
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, p)| {
-                        zone.as_ref().is_none_or(|z| *z == p.zone)
-                            && self.is_allowed(&spec, amount, p)
-                            && zones.allow(&p.zone)
-                    })
-                    .map(|(at, _)| (at, trial[at]))
-                    .collect();
-                let allowed = self.without_failed(ix, allowed, places);
-                let allowed = self.with_image(&spec, amount, allowed, places);
-                let Some((at, price)) = self.choose(amount, weight, &allowed, places) else {
+            while chosen.len() < spec.tasks as usize {
+                let Some(picked) = picker.pick(|at| zones.allow(&places[at].zone)) else {
                     break;
                 };
-                trial[at].price = price;
-                trial[at].used = trial[at].used.plus(amount);
-                zones.add(&places[at].zone);
-                chosen.push(at);
+                zones.add(&places[picked.0].zone);
+                chosen.push(picked);
             }
             if chosen.len() < spec.tasks as usize {
                 continue;
             }
             let attempt = self.fresh_attempt();
-            for at in chosen {
+            for (at, after) in chosen {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
-                    return;
+                    return true;
                 };
-                places[at].now = trial[at];
-                self.bind(ix, task, places[at].ix, attempt, now);
+                places[at].now = after;
+                self.bind_at(ix, task, &places[at], attempt, now);
             }
-            return;
+            return true;
         }
+        false
     }
 
-    /// Chooses by the pricing rule, first among the cheap machines with room, so that dear ones
-    /// come free and can be returned; then among all that are allowed.
-    fn choose(
-        &self,
-        amount: Amount,
-        weight: f64,
-        allowed: &[(usize, Candidate)],
-        places: &[Place],
-    ) -> Option<(usize, f64)> {
-        let fits = |c: &Candidate| amount.fits(c.capacity.minus(c.used));
-        // Borrowed machines come last: what runs there may have to make way.
-        let large =
-            |c: &Candidate| amount.largest_share(c.capacity) > self.config.tunables.large_share;
-        let own: Vec<(usize, Candidate)> = allowed
-            .iter()
-            .filter(|(at, c)| fits(c) && (places[*at].role == Role::Shared || large(c)))
-            .copied()
-            .collect();
-        let allowed = if own.is_empty() { allowed } else { &own };
-        let cheapest = allowed
-            .iter()
-            .filter(|(_, c)| fits(c))
-            .map(|(at, _)| places[*at].cost)
-            .fold(f64::INFINITY, f64::min);
-        let cheap = allowed
-            .iter()
-            .filter(|(at, _)| places[*at].cost <= cheapest * CHEAP);
-        self.rule
-            .choose(amount, weight, cheap.copied())
-            .or_else(|| self.rule.choose(amount, weight, allowed.iter().copied()))
+    fn bind_at(&mut self, ix: JobIx, task: u32, place: &Place, attempt: u64, now: Time) {
+        self.bind(ix, task, place.ix, attempt, now);
+        if let Some(m) = self.fleet.machines.get_mut(&place.ix) {
+            m.price = place.now.price;
+        }
     }
 
-    /// Only the machines with room that have a gang's image already, if there are any: fetching it
-    /// may take longer than the gang should wait.
-    fn with_image(
-        &self,
-        spec: &Submission,
-        amount: Amount,
-        allowed: Vec<(usize, Candidate)>,
-        places: &[Place],
-    ) -> Vec<(usize, Candidate)> {
-        let has = |at: usize| {
-            let machine = self.fleet.machines.get(&places[at].ix);
-            machine.is_some_and(|m| m.images.iter().any(|i| **i == *spec.image))
-        };
-        let near: Vec<(usize, Candidate)> = allowed
-            .iter()
-            .filter(|(at, c)| amount.fits(c.capacity.minus(c.used)) && has(*at))
-            .copied()
+    /// The allowed machines of a job, for the pricing rule to choose among. Cheap ones with room
+    /// come first, so that dear ones come free and can be returned; borrowed ones come last, as
+    /// what runs there may have to make way.
+    fn picker(&self, ix: JobIx, places: &[Place], here: impl Fn(&Place) -> bool) -> Picker {
+        let job = &self.jobs[&ix];
+        let spec = &job.spec;
+        let amount = job.amount();
+        let weight = self.config.tunables.weights[rank(spec.priority)];
+        let types: Vec<TypeFor> = (0..self.types.len())
+            .map(|t| TypeFor {
+                allowed: type_allowed(spec, &self.types[t]),
+                large: self.is_large_on(amount, t),
+            })
             .collect();
-        if near.is_empty() { allowed } else { near }
-    }
-
-    /// Leaves out machines where the job's tasks failed, if there are others.
-    fn without_failed(
-        &self,
-        ix: JobIx,
-        allowed: Vec<(usize, Candidate)>,
-        places: &[Place],
-    ) -> Vec<(usize, Candidate)> {
-        let failed_on = &self.jobs[&ix].failed_on;
-        if failed_on.is_empty() {
-            return allowed;
+        let allowed = |p: &Place| {
+            let t = types[p.type_ix];
+            // Machines kept for large work are not sliced up by small tasks; large work may also
+            // take a shared machine that has room for it.
+            let lent = p.lend_below.is_some_and(|below| spec.priority < below);
+            t.allowed
+                && (spec.spot || !p.spot)
+                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
+                && (t.large || p.role == Role::Shared || lent)
+                && here(p)
+        };
+        // Machines where the job's tasks failed are left out if there are others.
+        let healthy = |p: &Place| !job.failed_on.contains(&p.ix);
+        let any_healthy =
+            job.failed_on.is_empty() || places.iter().any(|p| allowed(p) && healthy(p));
+        let mut picker = Picker::new(self.rule, amount, weight);
+        for (at, p) in places.iter().enumerate() {
+            let room = p.now.capacity.minus(p.now.used);
+            if !amount.fits(room) || !allowed(p) || (any_healthy && !healthy(p)) {
+                continue;
+            }
+            let tier = Tier {
+                // Fetching the image may take longer than a gang should wait.
+                far: job.is_gang() && !self.has_image(p.ix, spec),
+                borrowed: p.role != Role::Shared && !types[p.type_ix].large,
+            };
+            picker.offer(at, tier, p.cost, p.now);
         }
-        let others: Vec<(usize, Candidate)> = allowed
-            .iter()
-            .filter(|(at, _)| !failed_on.contains(&places[*at].ix))
-            .copied()
-            .collect();
-        if others.is_empty() { allowed } else { others }
+        picker
     }
 
-    /// Whether a task may go to a machine at all; room and price come after.
-    fn is_allowed(&self, spec: &Submission, amount: Amount, p: &Place) -> bool {
-        let by_job = (spec.spot || !p.spot)
-            && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.contains(&self.types[p.type_ix].name));
-        // Machines kept for large work are not sliced up by small tasks; large work may also
-        // take a shared machine that has room for it.
-        let large = amount.largest_share(p.now.capacity) > self.config.tunables.large_share;
-        let lent = p.lend_below.is_some_and(|below| spec.priority < below);
-        by_job && (large || p.role == Role::Shared || lent)
+    fn has_image(&self, ix: MachineIx, spec: &Submission) -> bool {
+        let machine = self.fleet.machines.get(&ix);
+        machine.is_some_and(|m| m.images.iter().any(|i| **i == *spec.image))
     }
 
     /// In which zones tasks of a job are or may be, those of former attempts included.
@@ -381,6 +361,13 @@
     }
 }
 
+/// What a machine type is to a job.
+#[derive(Clone, Copy)]
+struct TypeFor {
+    allowed: bool,
+    large: bool,
+}
+
 /// Which zones a job's further tasks may go to.
 struct Zones {
     one_zone: bool,
