A first leader rents on at once; a node with many users writes more than its share

Cause: at a start the leader rented once and then waited 15 s for reports of machines that nobody had; accepting 137 jobs took 20 s because users meet the two nodes that are ready first, and each node had a fifth of the users' writes. Excluded: the cloud's limit (5 calls a second used of 10), processor time (0.2 at the start).

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -96,6 +96,8 @@
     sized_at: Time,
     /// The list was read to its end in this tenure.
     listed: bool,
+    /// Nothing was there before this tenure.
+    fresh: bool,
 }
 
 /// List intervals, as a ratio to the list's lag, and at least as many report intervals.
@@ -148,6 +150,7 @@
             types_at: now,
             sized_at: f64::NEG_INFINITY,
             listed: false,
+            fresh: false,
         }
     }
 
@@ -430,7 +433,7 @@
     fn knows_fleet(&self, now: Time) -> bool {
         let d = &self.config.deployment;
         let settle_s = (d.workers.report_s * SETTLE_REPORTS).max(d.cloud.list_lag_s);
-        self.cloud.listed && (self.fleet.machines.is_empty() || now - self.began >= settle_s)
+        self.cloud.listed && (self.cloud.fresh || now - self.began >= settle_s)
     }
 
     /// How much of which kind is there and used.
@@ -959,8 +962,9 @@
                 for listed in &machines {
                     self.on_listed(listed, now);
                 }
-                if !more {
+                if !more && !self.cloud.listed {
                     self.cloud.listed = true;
+                    self.cloud.fresh = self.fleet.machines.is_empty();
                 }
             }
             (CloudCall::List { .. }, _) => self.cloud.list_after = None,
--- a/src/node.rs
+++ b/src/node.rs
@@ -41,6 +41,8 @@
 const POLLS_MAX: usize = 256;
 /// Time a user's write may take before it is given up; users wait 5 s.
 const USER_WRITE_S: f64 = 1.5;
+/// By how much a node's share of the users' writes grows with each that is taken.
+const USER_PACE_RISE: f64 = 1.2;
 /// Time a poll may wait; users wait 2 s.
 const POLL_S: f64 = 1.2;
 /// When to come back, told to users that can't be served.
@@ -119,6 +121,8 @@
     cloud: Client,
     cloud_pace: Bucket,
     user_writes: Bucket,
+    /// What users may write in all.
+    user_rate: f64,
     user_writes_live: Cell<usize>,
     view: RefCell<View>,
     expected: Rc<RefCell<Expected>>,
@@ -205,15 +209,18 @@
 impl Node {
     fn new(rt: &Rt, config: Rc<Config>) -> Self {
         let d = &config.deployment;
-        let user_rate =
-            d.state.write_rps * (1.0 - crate::lead::LEADER_WRITE_SHARE) / d.nodes as f64;
+        let user_rate = d.state.write_rps * (1.0 - crate::lead::LEADER_WRITE_SHARE);
         Node {
             rt: rt.clone(),
             incarnation: rand::rng().random(),
             store: Store::new(rt, config.services.state, &config),
             cloud: Client::new(rt, config.services.cloud, OUTSIDE_BODY_MAX),
             cloud_pace: Bucket::new(d.cloud.rps * CLOUD_SHARE, d.cloud.rps),
-            user_writes: Bucket::new(user_rate, d.state.write_rps / d.nodes as f64),
+            user_writes: Bucket::new(
+                user_rate / d.nodes as f64,
+                d.state.write_rps / d.nodes as f64,
+            ),
+            user_rate,
             user_writes_live: Cell::new(0),
             view: RefCell::default(),
             expected: Rc::new(RefCell::new(Expected::new(
@@ -476,6 +483,7 @@
         self.rt.sleep(wait).await;
         loop {
             let outcome = self.store.txn(txn).await;
+            self.pace_users(&outcome);
             match outcome {
                 TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
                     self.heard_state();
@@ -492,6 +500,18 @@
         }
     }
 
+    /// Users are not spread evenly over the nodes: one that has many of them may write more than
+    /// its share as long as the store takes it.
+    fn pace_users(&self, outcome: &TxnOutcome) {
+        let share = self.user_rate / self.config.deployment.nodes as f64;
+        self.user_writes.set_rate(match outcome {
+            TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
+                (self.user_writes.rate() * USER_PACE_RISE).min(self.user_rate)
+            }
+            TxnOutcome::Refused | TxnOutcome::Unknown => share,
+        });
+    }
+
     /// Waits until the view shows all that was in the store when this call began.
     async fn barrier(&self) -> bool {
         if self.barrier_queue.borrow().len() >= POLLS_MAX {
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -418,7 +418,7 @@
 
 /// Lets so much through per second, with a burst.
 pub struct Bucket {
-    rate: f64,
+    rate: Cell<f64>,
     burst: f64,
     left: Cell<f64>,
     at: Cell<Time>,
@@ -428,7 +428,7 @@
     /// A full bucket.
     pub fn new(rate: f64, burst: f64) -> Self {
         Bucket {
-            rate,
+            rate: Cell::new(rate),
             burst: burst.max(1.0),
             left: Cell::new(burst.max(1.0)),
             at: Cell::new(0.0),
@@ -437,10 +437,21 @@
 
     /// Takes `n`, now or on credit; returns how long to wait before using them.
     pub fn take(&self, n: f64, now: Time) -> f64 {
-        let left = (self.left.get() + (now - self.at.get()).max(0.0) * self.rate).min(self.burst);
+        let left =
+            (self.left.get() + (now - self.at.get()).max(0.0) * self.rate.get()).min(self.burst);
         self.at.set(now);
         self.left.set(left - n);
-        ((n - left) / self.rate).max(0.0)
+        ((n - left) / self.rate.get()).max(0.0)
+    }
+
+    /// What it lets through per second.
+    pub fn rate(&self) -> f64 {
+        self.rate.get()
+    }
+
+    /// Lets more or less through from now on.
+    pub fn set_rate(&self, rate: f64) {
+        self.rate.set(rate);
     }
 
     /// Gives back what was taken but not used.
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -636,6 +636,13 @@
     let mut lead = store.elect("n2", 200.0);
     assert_eq!(rents(&mut lead, 200.0, "[]"), 0);
     assert!(rents(&mut lead, 201.0, "[]") > 0);
+    // Nor once the first machines of its own are coming: at a start the rest once waited for
+    // reports that nobody made.
+    lead.fleet.enter("i-9", "north", 201.0);
+    store.submit(&job("j-2", 400));
+    let stored = store.view().jobs["j-2"].clone();
+    lead.enter_job(&"j-2".into(), &stored, 201.5);
+    assert!(rents(&mut lead, 202.0, "[]") > 0);
 }
 
 /// After each takeover unneeded machines were once kept a minute longer, as if just rented.
