Rent for what will wait when machines are up; keep machines while much waits

Excluded: refusals of the cloud (limits remembered), boot trouble alone (booting machines were few before 325 s).

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -126,6 +126,8 @@
 const BACKLOG_SHARE: f64 = 0.5;
 /// A queue of this part of that time is no backlog.
 const QUEUE_SHARE: f64 = 0.25;
+/// Machines that are there already are kept if they shorten a backlog within this part of it.
+const KEEP_SHARE: f64 = 0.3;
 /// The owners' estimates count for as much as so many run times seen.
 const RUNS_MIN: f64 = 20.0;
 /// Large work is to start within this part of the time it may wait.
@@ -518,8 +520,14 @@
         let finish = self.tightest_finish(spec);
         let run_s = class.run_s();
         let needed = class.bound + class.pending;
-        let rate = self.expected.borrow().rate(&class_name(spec), now) * class.job_tasks();
-        let level = rate * run_s;
+        let name = class_name(spec);
+        let expected = self.expected.borrow();
+        let rate = expected.rate(&name, now) * class.job_tasks();
+        let mut level = rate * run_s;
+        if expected.is_young(now) {
+            // After all controllers crashed little is known: what runs tells what came.
+            level = level.max(class.bound);
+        }
         let tight = wait < boot_s * TIGHT_BOOTS;
         // What waits is to be worked off in good time.
         let within = if tight { f64::INFINITY } else { wait }.min(finish.unwrap_or(f64::INFINITY));
@@ -531,13 +539,15 @@
         // The level covers what comes meanwhile. Work may wait a little: only what would wait for
         // longer asks for more, and not for as much as would be idle a moment later.
         let flow = level.max(class.bound) / run_s;
-        let enough = |waits: f64| {
+        let enough = |waits: f64, within: f64| {
             let late = (waits - flow * horizon * QUEUE_SHARE).max(0.0);
-            level + late * run_s / horizon
+            level + late * run_s / within
         };
-        let mut lean = enough(class.pending);
-        let found = class.pending + (level - class.bound) / run_s * boot_s;
-        let mut rent = enough(found).min(lean);
+        // What is there stays while much waits; what is rented finds what will wait by then.
+        let comes = expected.recent(&name, now) * class.job_tasks();
+        let found = class.pending + (comes - class.bound / run_s) * boot_s;
+        let mut rent = enough(found, horizon);
+        let mut lean = enough(class.pending, horizon * KEEP_SHARE).max(rent);
         if self.is_large_class(class) && wait.is_finite() {
             lean = self.large_lean(class, wait, now);
             rent = lean;
--- a/src/expect.rs
+++ b/src/expect.rs
@@ -39,7 +39,9 @@
 const CROWD_RATIO: u32 = 2;
 /// The last intervals by themselves tell when arrivals have ended, or come more often: so many, as
 /// a part of all.
-const RECENT: u64 = 6;
+const RECENT: u64 = 8;
+/// The part of all intervals that must be watched before much is concluded.
+const YOUNG: u64 = 4;
 /// How far from what the last intervals tell the long-time rate may be, in standard deviations.
 const DOUBT: f64 = 2.5;
 
@@ -113,15 +115,36 @@
         }
     }
 
+    /// Whether too little was seen for rates to be known.
+    pub fn is_young(&self, now: Time) -> bool {
+        self.interval(now) - self.interval(self.since) < self.kept / YOUNG
+    }
+
     /// Jobs of a class per second.
     pub fn rate(&self, class: &str, now: Time) -> f64 {
-        let Some(seen) = self.classes.get(class) else {
+        let Some(counts) = self.counts(class, now) else {
             return 0.0;
         };
+        let recent = counts.recent;
+        let spread = DOUBT * recent.sqrt();
+        let within = counts.last as f64 * self.interval_s;
+        (counts.all / (counts.intervals as f64 * self.interval_s))
+            .min((recent + spread + DOUBT) / within)
+            .max((recent - spread) / within)
+    }
+
+    /// Jobs of a class per second in the last intervals.
+    pub fn recent(&self, class: &str, now: Time) -> f64 {
+        let counts = self.counts(class, now);
+        counts.map_or(0.0, |c| c.recent / (c.last as f64 * self.interval_s))
+    }
+
+    fn counts(&self, class: &str, now: Time) -> Option<Counts> {
+        let seen = self.classes.get(class)?;
         let at = self.interval(now);
         let watched = (at - self.interval(self.since) + 1).min(self.kept);
-        // A quarter of the window is watched before much is concluded.
-        let intervals = watched.max(self.kept / 4).max(1);
+        // A part of the window is watched before much is concluded.
+        let intervals = watched.max(self.kept / YOUNG).max(1);
         let mut counts: Vec<u32> = seen
             .iter()
             .filter(|(i, _)| *i + self.kept > at)
@@ -131,21 +154,25 @@
         counts.sort_unstable();
         let most = CROWD + CROWD_RATIO * counts[counts.len() / 2];
         let counted = |n: u32| f64::from(n.min(most));
-        let all: f64 = counts.iter().map(|n| counted(*n)).sum();
-        let rate = all / (intervals as f64 * self.interval_s);
         let last = (self.kept / RECENT).max(1);
-        let recent: f64 = seen
-            .iter()
-            .filter(|(i, _)| *i + last > at)
-            .map(|(_, n)| counted(*n))
-            .sum();
-        let spread = DOUBT * recent.sqrt();
-        let within = last as f64 * self.interval_s;
-        rate.min((recent + spread + DOUBT) / within)
-            .max((recent - spread) / within)
+        let recent = seen.iter().filter(|(i, _)| *i + last > at);
+        Some(Counts {
+            all: counts.iter().map(|n| counted(*n)).sum(),
+            intervals,
+            recent: recent.map(|(_, n)| counted(*n)).sum(),
+            last,
+        })
     }
 }
 
+/// Arrivals in so many intervals, and in the last of them.
+struct Counts {
+    all: f64,
+    intervals: u64,
+    recent: f64,
+    last: u64,
+}
+
 /// A mean that is plain at first and slowly forgets later.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Mean {
