Machines are gathered for a gang that waited half of the four minutes

Cause: gangs of sixteen waited up to 337 s at Ermis behind smaller ones that took each large machine as it came free. Excluded: capacity (68 large machines, 55 busy on the mean). Conclusion: kept at 120 s for at most 180 s at a time, as the largest must begin within four minutes; a test.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -1099,7 +1099,7 @@
 }
 
 /// How many tasks fit into a room.
-fn tasks_that_fit(task: Amount, room: Amount) -> f64 {
+pub(crate) fn tasks_that_fit(task: Amount, room: Amount) -> f64 {
     let per = |room: f64, task: f64| {
         if task > 1e-9 {
             ((room + 1e-6) / task).floor().max(0.0)
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -1032,3 +1032,57 @@
         assert_eq!(lead.jobs.values().next().unwrap().bound, 1);
     }
 }
+
+/// Gangs that need most machines once waited behind smaller ones that took each as it came free.
+#[test]
+fn a_large_gang_is_not_starved_by_small_ones() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws: Vec<FakeWorker> = (0..4)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let enter = |store: &mut FakeStore, lead: &mut Lead, spec: Submission, now: f64| {
+        store.submit(&spec);
+        let stored = store.view().jobs[spec.id.as_str()].clone();
+        lead.enter_job(&spec.id.as_str().into(), &stored, now);
+    };
+    let only = |spec: Submission| Submission {
+        types: Some(vec!["small".into()]),
+        ..spec
+    };
+    let mut now = 0.0;
+    let mut next = 0;
+    let mut whole = None;
+    while whole.is_none() {
+        now += 3.0;
+        assert!(now < 15.0 + 240.0, "the large gang starves");
+        // There is always a small gang waiting.
+        for _ in 0..2 {
+            next += 1;
+            enter(
+                &mut store,
+                &mut lead,
+                only(gang(&format!("j-{next}"), 1)),
+                now,
+            );
+        }
+        if next == 10 {
+            // At 15 s.
+            enter(&mut store, &mut lead, only(gang("j-5000", 4)), now);
+        }
+        lead.tend(now);
+        returned(&mut lead, now);
+        store.settle(&mut lead, now);
+        // Each runs for six rounds, and they end one after the other.
+        for (i, w) in ws.iter_mut().enumerate() {
+            if (now / 3.0) as usize % 6 == i {
+                for task in w.running().iter().filter(|t| !t.starts_with("j-5000")) {
+                    w.end(task, Why::Done);
+                }
+            }
+            w.checkin(&mut lead, now + 0.5);
+        }
+        let large = |w: &FakeWorker| w.running().iter().any(|t| t.starts_with("j-5000"));
+        whole = ws.iter().all(large).then_some(now);
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use crate::autoscale::tasks_that_fit;
 use crate::book::{Job, JobIx, MachineIx, amount, rank};
 use crate::fleet::{Machine, Role};
 use crate::lead::{Lead, type_allowed};
@@ -14,6 +15,12 @@
 
 /// Run times of tasks vary: so much of the mean is reckoned with.
 const RUN_MARGIN: f64 = 1.3;
+/// The largest work is to begin within this time, the users say.
+const BEGIN_S: f64 = 240.0;
+/// In which part of that time machines are gathered for a gang, and after what part again.
+/// Earlier, the small gangs that wait meanwhile cost more than the large one gains.
+const GATHER: std::ops::Range<f64> = 0.5..1.25;
+const GATHER_AGAIN: f64 = 1.5;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
 
@@ -28,6 +35,8 @@
     lend_below: Option<Priority>,
     /// What a CPU costs there.
     cost: f64,
+    /// Kept for a gang that has waited long for enough machines.
+    kept: bool,
     now: Candidate,
 }
 
@@ -85,6 +94,7 @@
                         .flatten()
                         .filter(|_| m.surplus_since.is_none()),
                     cost: costs[m.type_ix?][usize::from(m.spot)],
+                    kept: false,
                     now: Candidate {
                         capacity: m.capacity,
                         used: m.used,
@@ -97,6 +107,7 @@
             return;
         }
         let mut no_room: Vec<NoRoom> = Vec::new();
+        let mut keeping = false;
         for ix in self.order(now) {
             let job = &self.jobs[&ix];
             let spec = job.spec.clone();
@@ -110,6 +121,9 @@
                 self.place_array(ix, &mut places, now)
             };
             if !found {
+                if !keeping && self.gathers(&self.jobs[&ix], now) {
+                    keeping = self.keep_room(ix, &mut places);
+                }
                 no_room.push(NoRoom { spec, tasks });
             }
             if self.jobs[&ix].pending() == 0 {
@@ -158,7 +172,8 @@
         next.min(job.since + longest * OVERDUE)
     }
 
-    /// The jobs that wait, in the order in which they are placed: by priority, then those within
+    /// The jobs that wait, in the order in which they are placed: by priority, then gangs that
+    /// machines are gathered for, then those within
     /// their team's guarantee, then by what is due first, then by age.
     pub(crate) fn order(&self, now: Time) -> Vec<JobIx> {
         let teams = &self.config.deployment.teams;
@@ -189,7 +204,7 @@
                 );
             }
         }
-        let mut order: Vec<(usize, bool, u64, u64, JobIx)> = self
+        let mut order: Vec<(usize, bool, bool, u64, u64, JobIx)> = self
             .active
             .iter()
             .filter_map(|ix| {
@@ -197,6 +212,7 @@
                 (job.not_before <= now).then(|| {
                     (
                         3 - rank(job.spec.priority),
+                        !self.gathers(job, now),
                         !within.get(ix).copied().unwrap_or(false),
                         (self.due(job, now).max(0.0) * 1000.0) as u64,
                         job.order,
@@ -283,6 +299,53 @@
         false
     }
 
+    /// Whether a gang has waited so long that machines are gathered for it. Not for ever: one that
+    /// can't be placed then lets others go first for a while.
+    fn gathers(&self, job: &Job, now: Time) -> bool {
+        let waited = (now - job.since) / BEGIN_S;
+        job.is_gang() && GATHER.contains(&(waited % GATHER_AGAIN))
+    }
+
+    /// Keeps the room that a gang could use from all that comes later in this pass, if there are
+    /// machines enough for it in the end. Small gangs once took each large machine that came free,
+    /// and those of sixteen tasks waited for minutes.
+    fn keep_room(&self, ix: JobIx, places: &mut [Place]) -> bool {
+        let job = &self.jobs[&ix];
+        let spec = &job.spec;
+        let amount = job.amount();
+        let suits = |p: &Place| {
+            type_allowed(spec, &self.types[p.type_ix])
+                && (spec.spot || !p.spot)
+                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
+                && (p.role == Role::Large || !self.is_large_on(amount, p.type_ix))
+        };
+        let mut by_zone: HashMap<Rc<str>, usize> = HashMap::new();
+        for p in places.iter().filter(|p| suits(p)) {
+            let fit = tasks_that_fit(amount, p.now.capacity) as usize;
+            *by_zone.entry(p.zone.clone()).or_insert(0) += fit;
+        }
+        let tasks = spec.tasks as usize;
+        let zone = if spec.one_zone {
+            let most = by_zone
+                .into_iter()
+                .max_by(|a, b| (a.1, &b.0).cmp(&(b.1, &a.0)));
+            match most.filter(|(_, fit)| *fit >= tasks) {
+                Some((zone, _)) => Some(zone),
+                None => return false,
+            }
+        } else if by_zone.values().sum::<usize>() < tasks {
+            return false;
+        } else {
+            None
+        };
+        for p in places.iter_mut() {
+            let room = p.now.capacity.minus(p.now.used);
+            let here = zone.as_ref().is_none_or(|z| *z == p.zone);
+            p.kept = here && suits(p) && amount.fits(room);
+        }
+        true
+    }
+
     fn bind_at(&mut self, ix: JobIx, task: u32, place: &Place, attempt: u64, now: Time) {
         self.bind(ix, task, place.ix, attempt, now);
         if let Some(m) = self.fleet.machines.get_mut(&place.ix) {
@@ -310,6 +373,7 @@
             // take a shared machine that has room for it.
             let lent = p.lend_below.is_some_and(|below| spec.priority < below);
             t.allowed
+                && !p.kept
                 && (spec.spot || !p.spot)
                 && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
                 && (t.large || p.role == Role::Shared || lent)
