A former process of the host that is elected late is deposed; tests of cut-off nodes

Cause: a process that ends in the middle of an election may be elected after its end; its successor looked for that only once, at its start, and nobody led until the lease ran out.

--- a/src/node.rs
+++ b/src/node.rs
@@ -872,6 +872,9 @@
         let mut stand_at = self.now();
         loop {
             self.leader_moved.clear();
+            if self.older_self_leads() {
+                election::depose_older_self(&self.store, &self.config, self.incarnation).await;
+            }
             let vacant = self.loaded.get() && self.view.borrow().leader.is_none();
             let able = self.view.borrow().types.is_some();
             if vacant && able && self.now() >= stand_at {
@@ -890,6 +893,14 @@
         }
     }
 
+    /// Whether a former process of this host is shown as the leader: one that ended in the middle of
+    /// an election, and whose request was carried out after that. Nobody leads then.
+    fn older_self_leads(&self) -> bool {
+        let view = self.view.borrow();
+        let leader = view.leader.as_ref();
+        leader.is_some_and(|(r, _)| r.host == self.config.node && r.incarnation != self.incarnation)
+    }
+
     /// Holds the office until it is lost or given up.
     async fn lead_on(&self, mut tenure: Tenure) {
         tracing::info!("{} leads with token {}", self.config.node, tenure.token);
@@ -1311,6 +1322,131 @@
         (addr, scope)
     }
 
+    /// A process that ended while it stood for election may be elected after it has ended.
+    #[test]
+    fn an_office_given_to_a_former_process_of_this_host_is_ended() {
+        let ended = Rc::new(Cell::new(false));
+        let seen = ended.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            let mut config = crate::config::tests::sample();
+            config.services.state = listener.addr().unwrap();
+            let record = crate::view::LeaderRecord {
+                host: config.node.clone(),
+                incarnation: 1,
+            };
+            let value = serde_json::to_string(&record).unwrap();
+            let stored = format!(
+                r#"{{"K":"{}","V":{value},"Stamp":9,"Permit":5}}"#,
+                key::leader()
+            );
+            let pair = stored.clone();
+            let (rt2, ended) = (rt.clone(), ended.clone());
+            let started = Rc::new(Cell::new(false));
+            let handler = Rc::new(move |request: Request| {
+                let (rt, ended, started) = (rt2.clone(), ended.clone(), started.clone());
+                let (stored, pair) = (stored.clone(), pair.clone());
+                Box::pin(async move {
+                    let answer = |status, text: String| Response {
+                        status,
+                        body: text.into_bytes(),
+                        retry_after: None,
+                    };
+                    let path = request.path.as_str();
+                    if request.method == "DELETE" && path.ends_with("/5") {
+                        ended.set(true);
+                        rt.stop();
+                    }
+                    if path.starts_with("/keys?") {
+                        // The office was vacant when this process began and read the store.
+                        started.set(true);
+                        return answer(200, r#"{"Pairs":[],"Truncated":false,"Epoch":5}"#.into());
+                    }
+                    if path.ends_with(&key::leader()) {
+                        return match started.get() {
+                            true => answer(200, stored),
+                            false => answer(404, r#"{"Epoch":4}"#.into()),
+                        };
+                    }
+                    if path.contains("After=5&") {
+                        let put = pair.replacen("\"K\"", "\"Put\"", 1);
+                        return answer(200, format!(r#"{{"Epoch":9,"News":[{put}]}}"#));
+                    }
+                    rt.sleep(WATCH_S).await;
+                    answer(503, "{}".into())
+                }) as _
+            });
+            let limits = ServerLimits {
+                connections: 16,
+                request_s: 5.0,
+                idle_s: 60.0,
+            };
+            let root = Scope::new(rt);
+            root.spawn(serve(rt.clone(), listener, limits, handler));
+            let node = Rc::new(Node::new(rt, Rc::new(config)));
+            root.spawn(node.clone().follow_duty());
+            root.spawn(node.clone().election_duty());
+            Ok(root)
+        })
+        .unwrap();
+        assert!(seen.get());
+    }
+
+    /// Cut off from the state service and the other controllers, but not from workers and users.
+    #[test]
+    fn a_node_that_is_cut_off_serves_nobody_and_names_nobody_new() {
+        let finished = Rc::new(Cell::new(false));
+        let end = finished.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            // A state service that refuses everything.
+            let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            let mut config = crate::config::tests::sample();
+            config.services.state = listener.addr().unwrap();
+            let handler = Rc::new(|_| Box::pin(async { Response::later(503, "no", 1) }) as _);
+            let limits = ServerLimits {
+                connections: 16,
+                request_s: 5.0,
+                idle_s: 60.0,
+            };
+            let root = Scope::new(rt);
+            root.spawn(serve(rt.clone(), listener, limits, handler));
+            let node = Rc::new(Node::new(rt, Rc::new(config)));
+            let rt = rt.clone();
+            root.spawn(node.clone().barrier_duty());
+            root.spawn(async move {
+                // It led once; its lease is not trusted any more.
+                node.loaded.set(true);
+                let host = node.config.node.clone();
+                {
+                    let mut view = node.view.borrow_mut();
+                    view.types = Some(Rc::new(types()));
+                    let incarnation = node.incarnation;
+                    view.leader = Some((crate::view::LeaderRecord { host, incarnation }, 7));
+                }
+                node.tenure.set(Some(Tenure {
+                    token: 7,
+                    lease: 1,
+                    trusted_until: node.now() - 1.0,
+                }));
+                let mut worker = crate::testing::FakeWorker::new("i-1", "small", "north");
+                let report = serde_json::to_vec(&worker.next()).unwrap();
+                let told = node.report(&report).await;
+                assert_eq!(told.status, 503, "{}", String::from_utf8_lossy(&told.body));
+                assert_eq!(node.ready().status, 503);
+                assert_eq!(node.query("j-1").await.status, 503);
+                let asked = serde_json::to_vec(&job("j-1", 1)).unwrap();
+                let answer = node.submit(&asked).await;
+                assert_eq!(answer.status, 503);
+                assert!(answer.retry_after.is_some());
+                end.set(true);
+                rt.stop();
+            });
+            Ok(root)
+        })
+        .unwrap();
+        assert!(finished.get());
+    }
+
     fn status_of(answer: &Response) -> (u16, String) {
         let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
         let state = value["Status"].as_str().unwrap_or_default().to_owned();
@@ -1352,6 +1488,9 @@
                 outage.set(true);
                 assert_eq!(node.query("j-2").await.status, 503);
                 assert_eq!(node.query("j-1").await.status, 200);
+                // Once it can, all questions are answered again.
+                outage.set(false);
+                assert_eq!(node.query("j-2").await.status, 404);
                 end.set(true);
                 rt.stop();
             });
