--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -1,6 +1,6 @@
 //! Rents machines for work that waits or is expected, and returns those that nothing needs.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use crate::book::{JobIx, MachineIx, amount};
@@ -98,6 +98,8 @@
     listed: bool,
     /// Nothing was there before this tenure.
     fresh: bool,
+    /// Zones that seem to be cut off: nothing is rented there until then.
+    shunned: HashMap<Rc<str>, Time>,
 }
 
 /// List intervals, as a ratio to the list's lag, and at least as many report intervals.
@@ -118,6 +120,11 @@
 const RENT_MAX: u32 = 50;
 /// Machines returned with one request, as the protocol says.
 const DELETE_MAX: usize = 100;
+/// So many machines of a zone, and most of all there, that were silent for so many report
+/// intervals make it count as cut off, for so many boot times.
+const SILENT_ZONE_MIN: usize = 3;
+const SILENT_ZONE_REPORTS: f64 = 1.8;
+const SHUN_BOOTS: f64 = 2.0;
 /// A machine is charged for at least this long.
 const CHARGED_S: f64 = 60.0;
 /// Waits shorter than this many boot times can only be kept with machines that are up already.
@@ -153,6 +160,7 @@
             sized_at: f64::NEG_INFINITY,
             listed: false,
             fresh: false,
+            shunned: HashMap::new(),
         }
     }
 
@@ -301,6 +309,36 @@
         for ix in lost {
             self.give_back(ix, "lost");
         }
+        if trusted {
+            self.shun_silent_zones(now);
+        }
+    }
+
+    /// A zone of which hardly any machine is heard is cut off: what is rented there comes up and
+    /// isn't heard either.
+    fn shun_silent_zones(&mut self, now: Time) {
+        let w = &self.config.deployment.workers;
+        let longest = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let mut zones: HashMap<&Rc<str>, (usize, usize)> = HashMap::new();
+        for m in self.fleet.machines.values() {
+            let known_up = m.reported.or(m.listed_running);
+            let Some(since) = known_up else {
+                continue;
+            };
+            let (silent, all) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            let quiet = now - since.max(self.began) > w.report_s * SILENT_ZONE_REPORTS;
+            *silent += usize::from(quiet);
+        }
+        for (zone, (silent, all)) in zones {
+            if silent >= SILENT_ZONE_MIN && silent * 2 > all {
+                let until = now + longest * SHUN_BOOTS;
+                if self.cloud.shunned.insert(zone.clone(), until).is_none() {
+                    tracing::info!("zone {zone} seems to be cut off");
+                }
+            }
+        }
+        self.cloud.shunned.retain(|_, until| *until > now);
     }
 
     fn give_back(&mut self, ix: MachineIx, why: &str) {
@@ -844,8 +882,14 @@
         rents: &Rents,
         now: Time,
     ) -> Option<(PoolKey, f64, u32)> {
+        let shunned = |zone: &str| self.cloud.shunned.contains_key(zone);
+        let kinds = self.kinds(&class.spec);
+        let elsewhere = kinds.iter().any(|(t, _)| {
+            let mut zones = self.types[*t].zones.iter();
+            zones.any(|z| !shunned(z) && class.spec.zone.as_ref().is_none_or(|only| only == z))
+        });
         let mut best: Option<(f64, u32, PoolKey, f64, u32)> = None;
-        for (type_ix, spot) in self.kinds(&class.spec) {
+        for (type_ix, spot) in kinds {
             let t = &self.types[type_ix];
             let per_machine = tasks_that_fit(class.amount, self.capacity_of(type_ix));
             if per_machine < 1.0 || self.unit_price(type_ix, spot) > limit {
@@ -854,7 +898,9 @@
             let each = if spot { t.spot_price } else { t.price };
             let cost = (left / per_machine).ceil() * each;
             for zone in &t.zones {
-                if class.spec.zone.as_ref().is_some_and(|z| z != zone) {
+                if class.spec.zone.as_ref().is_some_and(|z| z != zone)
+                    || (elsewhere && shunned(zone))
+                {
                     continue;
                 }
                 let pool = PoolKey {
