--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -268,7 +268,7 @@
         let silent_s = w.report_s * t.silent_reports;
         let up = || self.fleet.machines.values().filter(|m| m.is_up());
         let heard = up()
-            .filter(|m| m.reported.is_some_and(|h| now - h < silent_s))
+            .filter(|m| m.last_word().is_some_and(|h| now - h < silent_s))
             .count();
         // When hardly anybody is heard any more, it is rather this node that is cut off: then
         // only the workers' leases tell.
@@ -292,7 +292,7 @@
                 // What is on it ends with its worker's lease: nothing renews that.
                 trusted && !mute && now - since > silent_s
             } else if m.is_up() {
-                let last = m.reported.unwrap_or(m.since.max(self.began));
+                let last = m.last_word().unwrap_or(self.began);
                 trusted && now - last > silent_s
             } else if let Some(up_at) = m.listed_running {
                 trusted && now - up_at.max(self.began) > silent_s
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -103,7 +103,7 @@
 }
 
 /// A machine.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Machine {
     pub name: Rc<str>,
     pub addr: Option<SocketAddr>,
@@ -119,6 +119,8 @@
     pub heard: Option<Time>,
     /// When it last reported something new by itself: only that renews its worker's lease.
     pub reported: Option<Time>,
+    /// When this tenure first heard it.
+    met: Option<Time>,
     /// When the last report was received that was answered 200 in this tenure.
     pub answered: Option<Time>,
     /// Whether that was not the first one.
@@ -191,6 +193,7 @@
             token: 0,
             heard: None,
             reported: None,
+            met: None,
             answered: None,
             answered_before: false,
             since: now,
@@ -220,6 +223,11 @@
         }
     }
 
+    /// When it last reported by itself or, before its first report, answered.
+    pub fn last_word(&self) -> Option<Time> {
+        self.reported.or(self.met)
+    }
+
     /// Whether its worker has reported under this tenure.
     pub fn is_up(&self) -> bool {
         self.heard.is_some()
@@ -413,6 +421,7 @@
         m.seq = report.seq;
         m.token = m.token.max(report.token);
         m.heard = Some(now);
+        m.met.get_or_insert(now);
         if source == Source::Checkin {
             m.reported = Some(now);
         }
@@ -871,11 +880,12 @@
         }
     }
 
-    /// Whether a machine has been silent for longer than its reports are apart, whatever it answered
-    /// to direct messages.
+    /// Whether a machine has been silent for longer than its reports are apart. An answer to a direct
+    /// message counts only as long as its first report may still come: after a change of leader the
+    /// machines called on can be used at once.
     pub(crate) fn is_quiet(&self, m: &Machine, now: Time) -> bool {
         let quiet = self.config.deployment.workers.report_s * QUIET_REPORTS;
-        m.reported.is_none_or(|t| now - t >= quiet)
+        m.last_word().is_none_or(|t| now - t >= quiet)
     }
 
     /// Whether the answers of this leader reach hardly any worker.
