--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -604,11 +604,13 @@
                 full = full.max(level + ratio * (level * class.job_tasks()).sqrt());
             }
         }
+        // Never nothing: what waits must run some time, however little it is. And never more than
+        // there is: at a start all of a crowd once asked for three times as much.
+        let bounded = |tasks: f64| tasks.min(full).round().max(needed.min(1.0));
         Want {
             full: full.ceil(),
-            // Never nothing: what waits must run some time, however little it is.
-            lean: lean.round().max(needed.min(1.0)),
-            rent: rent.round().max(needed.min(1.0)),
+            lean: bounded(lean),
+            rent: bounded(rent),
         }
     }
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -19,8 +19,8 @@
 const BEGIN_S: f64 = 240.0;
 /// In which part of that time machines are gathered for a gang, and after what part again.
 /// Earlier, the small gangs that wait meanwhile cost more than the large one gains.
-const GATHER: std::ops::Range<f64> = 0.6..1.35;
-const GATHER_AGAIN: f64 = 1.6;
+const GATHER: std::ops::Range<f64> = 0.75..1.5;
+const GATHER_AGAIN: f64 = 1.75;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
 
