A machine that fails one task of a gang, or of a sound array, is set aside at once

Cause: with 50 of 1,500 machines failing all tasks, 4 of 10 gangs of sixteen met one; each took down two gangs before it was set aside, and jobs that met three paused as if at fault.

--- a/src/book.rs
+++ b/src/book.rs
@@ -53,6 +53,8 @@
     pub not_before: Time,
     /// Machines on which its tasks failed since one completed.
     pub failed_on: HashSet<MachineIx>,
+    /// Machines on which tasks of the present attempt of a gang failed.
+    pub failed_now: HashSet<MachineIx>,
     pub backoff_s: f64,
     /// How many of its attempts are or may be on machines, completed ones included.
     pub slots: u32,
@@ -77,6 +79,7 @@
             end_queued: false,
             not_before: 0.0,
             failed_on: HashSet::new(),
+            failed_now: HashSet::new(),
             backoff_s: 0.0,
             slots: 0,
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -291,6 +291,14 @@
         }
     }
 
+    /// Tasks fail there: it gets nothing more and is returned.
+    pub(crate) fn set_aside(&mut self) {
+        if !self.suspect {
+            tracing::info!("{} is set aside: tasks keep failing there", self.name);
+            self.suspect = true;
+        }
+    }
+
     fn finish_slot(&mut self, key: &SlotKey) {
         if let Some(slot) = self.slots.get_mut(key)
             && !slot.over
@@ -646,6 +654,9 @@
             return;
         }
         self.use_team(key.job, -1.0);
+        if self.jobs[&key.job].is_gang() {
+            self.judge_attempt(key.job);
+        }
         let bound_here = matches!(self.jobs[&key.job].task(key.task),
             Task::Bound { machine, attempt, .. } if machine == ix && attempt == key.attempt);
         if bound_here {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -130,6 +130,8 @@
 /// that fails nowhere else.
 const MACHINE_FAULT_JOBS: usize = 2;
 const MACHINE_FAULT_ERRORS: u32 = 3;
+/// So many tasks of a job that are sound, to one that fails, speak for the job.
+const SOUND_TASKS: u32 = 3;
 /// Pause of a machine after a failure, in report intervals.
 const COOL_REPORTS: f64 = 2.0;
 
@@ -382,7 +384,13 @@
         let Some(job) = self.jobs.get_mut(&ix) else {
             return;
         };
+        // A faulty job fails everywhere: where others of its tasks complete, it is the machine.
+        if !job.is_gang() && job.done >= SOUND_TASKS {
+            self.set_aside(machine);
+            return;
+        }
         job.failed_on.insert(machine);
+        job.failed_now.insert(machine);
         let failed_on = job.failed_on.len();
         if failed_on >= JOB_FAULT_MACHINES {
             job.backoff_s = (job.backoff_s * 2.0)
@@ -400,9 +408,32 @@
         // One job's failures speak against a machine only while it fails nowhere else.
         let at_fault = m.error_jobs.len() >= MACHINE_FAULT_JOBS
             || (failed_on == 1 && m.errors >= MACHINE_FAULT_ERRORS);
-        if at_fault && !m.suspect {
-            tracing::info!("{} is set aside: tasks keep failing there", m.name);
-            m.suspect = true;
+        if at_fault {
+            self.set_aside(machine);
+        }
+    }
+
+    /// All of a gang's attempt is off. If few of its tasks failed and the others only lost them, the
+    /// fault is with those machines: each would take down one large gang after the other.
+    pub(crate) fn judge_attempt(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get_mut(&ix).filter(|j| j.slots == 0) else {
+            return;
+        };
+        let failed = std::mem::take(&mut job.failed_now);
+        if failed.len() * SOUND_TASKS as usize > job.spec.tasks as usize {
+            return;
+        }
+        for machine in failed {
+            job.failed_on.remove(&machine);
+            if let Some(m) = self.fleet.machines.get_mut(&machine) {
+                m.set_aside();
+            }
+        }
+    }
+
+    fn set_aside(&mut self, machine: MachineIx) {
+        if let Some(m) = self.fleet.machines.get_mut(&machine) {
+            m.set_aside();
         }
     }
 
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -1142,3 +1142,38 @@
     assert!(!zones.is_empty());
     assert!(zones.iter().all(|z| z == "north"), "{zones:?}");
 }
+
+/// Of 1,500 machines 50 failed all that they started; each took down two gangs of sixteen before it
+/// was set aside, and jobs that met three of them paused as if they were at fault.
+#[test]
+fn a_machine_that_fails_one_task_of_a_gang_is_set_aside_at_once() {
+    for all in [false, true] {
+        let mut store = FakeStore::default();
+        store.submit(&gang("j-1", 4));
+        let mut lead = store.elect("n0", 0.0);
+        let mut ws: Vec<FakeWorker> = (0..5)
+            .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+            .collect();
+        for w in &mut ws {
+            meet(w, &mut lead, 1.0);
+        }
+        store.settle(&mut lead, 1.0);
+        for w in &mut ws {
+            w.checkin(&mut lead, 2.0);
+            w.checkin(&mut lead, 2.5);
+        }
+        for (i, w) in ws.iter_mut().enumerate() {
+            for task in w.running() {
+                let failed = all || i == 0;
+                w.end(&task, if failed { Why::Error } else { Why::Peers });
+            }
+            w.checkin(&mut lead, 3.0);
+        }
+        let suspects = lead.fleet.machines.values().filter(|m| m.suspect).count();
+        assert_eq!(suspects, usize::from(!all));
+        store.settle(&mut lead, 3.5);
+        let again = lead.jobs.values().next().unwrap().bound;
+        // A job that fails everywhere pauses; another goes on with the machines that are left.
+        assert_eq!(again, if all { 0 } else { 4 });
+    }
+}
