--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -5,7 +5,7 @@
 
 use crate::book::{JobIx, MachineIx, amount};
 use crate::expect::{JOBS_KEPT, Mean, class_name};
-use crate::fleet::Role;
+use crate::fleet::{Machine, Role};
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
 use crate::rt::Time;
@@ -120,10 +120,10 @@
 const RENT_MAX: u32 = 50;
 /// Machines returned with one request, as the protocol says.
 const DELETE_MAX: usize = 100;
-/// So many machines of a zone, and most of all there, that were silent for so many report
-/// intervals make it count as cut off, for so many boot times.
-const SILENT_ZONE_MIN: usize = 3;
-const SILENT_ZONE_REPORTS: f64 = 1.8;
+/// A zone of at least so many machines of which none was heard for so many report intervals counts
+/// as cut off, for so many boot times after the last of them was there.
+const SILENT_ZONE_MIN: usize = 12;
+const SILENT_ZONE_REPORTS: f64 = 0.8;
 const SHUN_BOOTS: f64 = 2.0;
 /// A machine is charged for at least this long.
 const CHARGED_S: f64 = 60.0;
@@ -143,6 +143,8 @@
 const HEARING_REPORTS: f64 = 0.6;
 /// Reports of all workers have come after so many intervals of a tenure.
 const SETTLE_REPORTS: f64 = 1.5;
+/// Or earlier, once this part of the machines has been heard.
+const HEARD_SHARE: f64 = 0.95;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
 
@@ -291,6 +293,9 @@
             } else if let Some(since) = m.deaf_since {
                 // What is on it ends with its worker's lease: nothing renews that.
                 trusted && !mute && now - since > silent_s
+            } else if self.is_cut_off(m) && m.only_stopped() {
+                // What is left there of gangs that have broken holds all of them up.
+                trusted
             } else if m.is_up() {
                 let last = m.last_word().unwrap_or(self.began);
                 trusted && now - last > silent_s
@@ -314,31 +319,45 @@
         }
     }
 
-    /// A zone of which hardly any machine is heard is cut off: what is rented there comes up and
-    /// isn't heard either.
+    /// A zone of which no machine is heard any more while others are is cut off: what is rented there
+    /// comes up and isn't heard either. Where there are many machines this shows long before any
+    /// of them counts as lost.
     fn shun_silent_zones(&mut self, now: Time) {
-        let w = &self.config.deployment.workers;
+        let report_s = self.config.deployment.workers.report_s;
         let longest = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
-        let mut zones: HashMap<&Rc<str>, (usize, usize)> = HashMap::new();
+        let heard = |zone: &Rc<str>| {
+            let at = self.zone_heard.get(zone).copied();
+            at.unwrap_or(self.began).max(self.began)
+        };
+        let mut zones: HashMap<&Rc<str>, usize> = HashMap::new();
         for m in self.fleet.machines.values() {
-            let known_up = m.reported.or(m.listed_running);
-            let Some(since) = known_up else {
-                continue;
-            };
-            let (silent, all) = zones.entry(&m.zone).or_default();
-            *all += 1;
-            let quiet = now - since.max(self.began) > w.report_s * SILENT_ZONE_REPORTS;
-            *silent += usize::from(quiet);
+            if m.heard.or(m.listed_running).is_some() || !m.slots.is_empty() {
+                *zones.entry(&m.zone).or_default() += 1;
+            }
         }
-        for (zone, (silent, all)) in zones {
-            if silent >= SILENT_ZONE_MIN && silent * 2 > all {
+        let others_heard = self
+            .zone_heard
+            .values()
+            .any(|at| now - at < report_s * SILENT_ZONE_REPORTS * 0.5);
+        for (zone, machines) in zones {
+            let silent = now - heard(zone) > report_s * SILENT_ZONE_REPORTS;
+            if others_heard && silent && machines >= SILENT_ZONE_MIN {
                 let until = now + longest * SHUN_BOOTS;
                 if self.cloud.shunned.insert(zone.clone(), until).is_none() {
                     tracing::info!("zone {zone} seems to be cut off");
                 }
             }
         }
-        self.cloud.shunned.retain(|_, until| *until > now);
+        let cut = |zone: &Rc<str>, until: Time| {
+            until > now && now - heard(zone) > report_s * SILENT_ZONE_REPORTS * 0.5
+        };
+        let shunned = std::mem::take(&mut self.cloud.shunned);
+        self.cloud.shunned = shunned.into_iter().filter(|(z, t)| cut(z, *t)).collect();
+    }
+
+    /// Whether a machine is in a zone that seems to be cut off.
+    fn is_cut_off(&self, m: &Machine) -> bool {
+        self.cloud.shunned.contains_key(&m.zone)
     }
 
     fn give_back(&mut self, ix: MachineIx, why: &str) {
@@ -473,7 +492,18 @@
     fn knows_fleet(&self, now: Time) -> bool {
         let d = &self.config.deployment;
         let settle_s = (d.workers.report_s * SETTLE_REPORTS).max(d.cloud.list_lag_s);
-        self.cloud.listed && (self.cloud.fresh || now - self.began >= settle_s)
+        self.cloud.listed
+            && (self.cloud.fresh || now - self.began >= settle_s || self.has_heard_most())
+    }
+
+    /// Whether nearly all machines that are up were heard, but for zones that seem to be cut off.
+    fn has_heard_most(&self) -> bool {
+        let machines = self.fleet.machines.values();
+        let up = machines.filter(|m| m.heard.or(m.listed_running).is_some() && !self.is_cut_off(m));
+        let (heard, all) = up.fold((0, 0), |(heard, all), m| {
+            (heard + usize::from(m.is_up()), all + 1)
+        });
+        all > 0 && heard as f64 >= all as f64 * HEARD_SHARE
     }
 
     /// How much of which kind is there and used.
@@ -661,6 +691,7 @@
             .machines
             .iter()
             .filter(|(_, m)| !m.leaving && !m.suspect && m.notice.is_none())
+            .filter(|(_, m)| !self.is_cut_off(m))
             .filter_map(|(ix, m)| {
                 let type_ix = m.type_ix?;
                 let late = !m.is_up() && now - m.rented > self.types[type_ix].boot_s * t.late_boots;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -244,6 +244,12 @@
         })
     }
 
+    /// Whether all that is or may be on it is to be stopped.
+    pub fn only_stopped(&self) -> bool {
+        let mut live = self.slots.values().filter(|s| !s.over).peekable();
+        live.peek().is_some() && live.all(|s| s.stop.is_some())
+    }
+
     /// Whether nothing is or may be on it but what is over.
     pub fn is_empty(&self) -> bool {
         self.slots.values().all(|s| s.over)
@@ -428,6 +434,7 @@
         m.session = report.session;
         m.seq = report.seq;
         m.token = m.token.max(report.token);
+        self.zone_heard.insert(m.zone.clone(), now);
         m.heard = Some(now);
         m.met.get_or_insert(now);
         if source == Source::Checkin {
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -107,6 +107,8 @@
     write_tokens: f64,
     write_refill: Time,
     pub last_report: Time,
+    /// When a machine of each zone was last heard.
+    pub(crate) zone_heard: HashMap<Rc<str>, Time>,
 }
 
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
@@ -173,6 +175,7 @@
             write_tokens: 0.0,
             write_refill: now,
             last_report: now,
+            zone_heard: HashMap::new(),
             config,
         };
         let mut jobs: Vec<_> = view.jobs.iter().collect();
