--- a/src/node.rs
+++ b/src/node.rs
@@ -1261,6 +1261,20 @@
     use super::*;
     use crate::testing::{job, types};
 
+    const LIMITS: ServerLimits = ServerLimits {
+        connections: 16,
+        request_s: 5.0,
+        idle_s: 60.0,
+    };
+
+    fn answer(status: u16, text: String) -> Response {
+        Response {
+            status,
+            body: text.into_bytes(),
+            retry_after: None,
+        }
+    }
+
     /// A state service on loopback that shows a job, and its end only to a watch that is answered
     /// after the store's revision was asked for. Asked for the revision in an outage, it refuses.
     fn scripted_store(rt: &Rt, outage: Rc<Cell<bool>>) -> (SocketAddr, Scope) {
@@ -1271,11 +1285,6 @@
         let handler = Rc::new(move |request: Request| {
             let (asked, rt, outage) = (asked.clone(), rt2.clone(), outage.clone());
             Box::pin(async move {
-                let answer = |status, text: String| Response {
-                    status,
-                    body: text.into_bytes(),
-                    retry_after: None,
-                };
                 let path = request.path;
                 if outage.get() {
                     return answer(503, "{}".into());
@@ -1313,12 +1322,7 @@
             }) as _
         });
         let scope = Scope::new(rt);
-        let limits = ServerLimits {
-            connections: 16,
-            request_s: 5.0,
-            idle_s: 60.0,
-        };
-        scope.spawn(serve(rt.clone(), listener, limits, handler));
+        scope.spawn(serve(rt.clone(), listener, LIMITS, handler));
         (addr, scope)
     }
 
@@ -1347,11 +1351,6 @@
                 let (rt, ended, started) = (rt2.clone(), ended.clone(), started.clone());
                 let (stored, pair) = (stored.clone(), pair.clone());
                 Box::pin(async move {
-                    let answer = |status, text: String| Response {
-                        status,
-                        body: text.into_bytes(),
-                        retry_after: None,
-                    };
                     let path = request.path.as_str();
                     if request.method == "DELETE" && path.ends_with("/5") {
                         ended.set(true);
@@ -1376,13 +1375,8 @@
                     answer(503, "{}".into())
                 }) as _
             });
-            let limits = ServerLimits {
-                connections: 16,
-                request_s: 5.0,
-                idle_s: 60.0,
-            };
             let root = Scope::new(rt);
-            root.spawn(serve(rt.clone(), listener, limits, handler));
+            root.spawn(serve(rt.clone(), listener, LIMITS, handler));
             let node = Rc::new(Node::new(rt, Rc::new(config)));
             root.spawn(node.clone().follow_duty());
             root.spawn(node.clone().election_duty());
@@ -1403,13 +1397,8 @@
             let mut config = crate::config::tests::sample();
             config.services.state = listener.addr().unwrap();
             let handler = Rc::new(|_| Box::pin(async { Response::later(503, "no", 1) }) as _);
-            let limits = ServerLimits {
-                connections: 16,
-                request_s: 5.0,
-                idle_s: 60.0,
-            };
             let root = Scope::new(rt);
-            root.spawn(serve(rt.clone(), listener, limits, handler));
+            root.spawn(serve(rt.clone(), listener, LIMITS, handler));
             let node = Rc::new(Node::new(rt, Rc::new(config)));
             let rt = rt.clone();
             root.spawn(node.clone().barrier_duty());
