Loss of the state service and deafness are judged in seconds, not in long report intervals

Cause: with reports every 10 s a node refused by the state service stayed ready for 15 s and a leader without workers in office for 13 s; at hundreds of machines silence shows within seconds. An idle follower heard the state service only every 10 s and would have counted as without it.

--- a/src/node.rs
+++ b/src/node.rs
@@ -49,8 +49,8 @@
 const RETRY_S: u32 = 1;
 /// Gap between two watches, so that changes come in groups.
 const FOLLOW_GAP_S: f64 = 0.05;
-/// Time of one watch.
-const WATCH_S: f64 = 10.0;
+/// Time of one watch: less than the silence after which the state service counts as lost.
+const WATCH_S: f64 = 2.0;
 /// A watch that hasn't shown a revision known to exist for so long is begun anew.
 const FOLLOW_STALE_S: f64 = 0.4;
 /// Shortest time between two rounds of the leader's duty, so that reports are taken in groups.
@@ -64,11 +64,13 @@
 const STATE_PAUSE_S: f64 = 0.15;
 /// Renewals within a lease's life.
 const RENEWALS: f64 = 4.0;
-/// Interval of greetings in report intervals.
+/// Interval of greetings in report intervals, and the longest.
 const GREETING_REPORTS: f64 = 0.4;
+const GREETING_S_MAX: f64 = 1.2;
 /// After so many report intervals without the state service, while others have it, a node asks
 /// not to be sent users.
 const STATE_LOST_REPORTS: f64 = 1.5;
+const STATE_LOST_S_MAX: f64 = 4.5;
 /// Direct messages to workers under way at once.
 const DIRECT_MAX: usize = 24;
 /// Interval of direct messages to one worker, and their time limit, in report intervals.
@@ -78,6 +80,12 @@
 const DIRECT_S_MAX: f64 = 2.0;
 /// A leader without reports for so many intervals resigns when another hears workers.
 const DEAF_REPORTS: f64 = 1.3;
+/// Or for so long, if it knows so many machines: some of them would report in that time.
+const DEAF_S_MAX: f64 = 4.0;
+const DEAF_MACHINES: usize = 12;
+/// Interval of pleas in report intervals, and the longest.
+const PLEA_REPORTS: f64 = 0.5;
+const PLEA_S_MAX: f64 = 1.5;
 /// So many workers that can't reach the leader are told of.
 const ASTRAY_WORKERS: usize = 2;
 /// How long a leader that resigned stands back, in lives of its lease.
@@ -179,7 +187,7 @@
             })
         };
         root.spawn(serve(rt.clone(), front, limits, handler));
-        let every_s = w.report_s * GREETING_REPORTS;
+        let every_s = (w.report_s * GREETING_REPORTS).min(GREETING_S_MAX);
         root.spawn(cluster::listen(
             rt.clone(),
             links,
@@ -324,7 +332,8 @@
 
     fn ready(&self) -> Response {
         let now = self.now();
-        let within = self.config.deployment.workers.report_s * STATE_LOST_REPORTS;
+        let report_s = self.config.deployment.workers.report_s;
+        let within = (report_s * STATE_LOST_REPORTS).min(STATE_LOST_S_MAX);
         let able = self.loaded.get() && self.view.borrow().types.is_some();
         let served = self.state_heard.get().is_some_and(|t| now - t < within);
         // Without the state service users are no better off elsewhere, unless others have it, or may:
@@ -652,7 +661,8 @@
         let gone_astray = seen
             .get(&report.machine)
             .is_some_and(|s| s.astray.is_some());
-        if !gone_astray || now - self.plea_at.get() <= report_s * 0.5 {
+        let pause = (report_s * PLEA_REPORTS).min(PLEA_S_MAX);
+        if !gone_astray || now - self.plea_at.get() <= pause {
             return;
         }
         let lately = |s: &&Seen| s.astray.is_some_and(|at| now - at < report_s * 2.0);
@@ -814,9 +824,12 @@
                     let deaf_s = self.config.deployment.workers.report_s * DEAF_REPORTS;
                     if let Some(lead) = lead.as_mut()
                         && lead.token == plea.token
-                        && now - lead.last_report > deaf_s
                     {
-                        self.resign.set();
+                        let many = lead.fleet.machines.len() >= DEAF_MACHINES;
+                        let deaf_s = if many { deaf_s.min(DEAF_S_MAX) } else { deaf_s };
+                        if now - lead.last_report > deaf_s {
+                            self.resign.set();
+                        }
                     }
                 }
                 Some(view::Change::Types) | None => {}
@@ -1326,6 +1339,41 @@
         (addr, scope)
     }
 
+    /// All workers of a large fleet in one greeting were more than a frame may hold: the links broke
+    /// at each.
+    #[test]
+    fn greetings_tell_of_a_large_fleet_in_turn() {
+        Rt::run::<calloop::Error>(|rt| {
+            let node = Node::new(rt, Rc::new(crate::config::tests::sample()));
+            for i in 0..600 {
+                let worker = WorkerSeen {
+                    machine: format!("i-{i:06}"),
+                    zone: "north".into(),
+                    addr: "127.0.0.1:9".into(),
+                    session: 1,
+                };
+                let seen = Seen {
+                    at: node.now(),
+                    redirected: None,
+                    astray: None,
+                    worker: worker.clone(),
+                };
+                node.seen.borrow_mut().insert(worker.machine, seen);
+            }
+            let mut told = String::new();
+            let mut all = std::collections::BTreeSet::new();
+            for _ in 0..3 {
+                let greeting = node.greeting(&mut told);
+                assert!(greeting.workers.len() <= cluster::WORKERS_TOLD);
+                all.extend(greeting.workers.into_iter().map(|w| w.machine));
+            }
+            assert_eq!(all.len(), 600);
+            rt.stop();
+            Ok(Scope::new(rt))
+        })
+        .unwrap();
+    }
+
     /// A process that ended while it stood for election may be elected after it has ended.
     #[test]
     fn an_office_given_to_a_former_process_of_this_host_is_ended() {
