Sockets by need: workers and users may have all that the node doesn't need itself

Now: all but what the node opens itself; from 0.95 on each answer ends its connection, so more clients than sockets are served; one that rests for 1.5 report intervals makes way. A connection at rest holds no buffer.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -82,7 +82,7 @@
 /// Largest greeting taken.
 const FRAME_MAX: usize = 64 * 1024;
 /// Links from others at once, per known controller.
-const LINKS_PER_PEER: usize = 4;
+pub const LINKS_PER_PEER: usize = 4;
 /// A link is given up after so many intervals without a word.
 const SILENT_INTERVALS: f64 = 5.0;
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,12 +1,15 @@
 //! Bounded HTTP/1.1, server and client. Heads are parsed by httparse; framing and limits are ours.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 
-use crate::rt::{Listener, Rt, Scope, Stream};
+use futures_util::future::{Either, select};
+
+use crate::rt::{Listener, Rt, Scope, Signal, Stream, Time};
 
 /// Largest head of a message.
 const HEAD_MAX: usize = 16 * 1024;
@@ -274,19 +277,136 @@
     pub request_s: f64,
     /// How long a connection may rest between requests.
     pub idle_s: f64,
+    /// One that rested for so long makes way for a new one when all are taken.
+    pub rest_s: f64,
+}
+
+/// From this part of the connections on, each ends with its answer: so many clients can be served
+/// that could not all stay connected.
+const CROWDED: f64 = 0.95;
+/// Connections being told to come back, as a part of those served.
+const TURNED_AWAY: f64 = 1.0 / 32.0;
+
+impl ServerLimits {
+    /// The connections that may be served when there are so many sockets in all for clients.
+    pub fn connections_within(sockets: usize) -> usize {
+        (sockets as f64 / (1.0 + TURNED_AWAY)) as usize
+    }
+
+    fn crowded(&self) -> usize {
+        (self.connections as f64 * CROWDED).ceil() as usize
+    }
+
+    fn turned_away(&self) -> usize {
+        (self.connections as f64 * TURNED_AWAY) as usize + 1
+    }
+}
+
+/// What the connections of a server share.
+struct Server {
+    rt: Rt,
+    limits: ServerLimits,
+    handler: Handler,
+    live: Cell<usize>,
+    next_rest: Cell<u64>,
+    /// Connections that rest between requests, the longest first: since when, and what ends them.
+    resting: RefCell<BTreeMap<u64, (Time, Rc<Signal>)>>,
+}
+
+impl Server {
+    /// Whether a connection that has rested for long made way for another.
+    fn make_way(&self) -> bool {
+        let mut resting = self.resting.borrow_mut();
+        match resting.first_entry() {
+            Some(first) if self.rt.now() - first.get().0 >= self.limits.rest_s => {
+                first.remove().1.set();
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Waits for the first bytes of a request. False if there are none, or others need the
+    /// connection more.
+    async fn rest(&self, stream: &mut Stream, way: &Rc<Signal>) -> bool {
+        let id = self.next_rest.get();
+        self.next_rest.set(id + 1);
+        let entry = (self.rt.now(), way.clone());
+        self.resting.borrow_mut().insert(id, entry);
+        let ready = self.rt.timeout(self.limits.idle_s, stream.readable());
+        let ready = std::pin::pin!(ready);
+        let ended = std::pin::pin!(way.raised());
+        let ready = matches!(select(ready, ended).await, Either::Left((Ok(()), _)));
+        self.resting.borrow_mut().remove(&id);
+        ready
+    }
+
+    async fn connection(&self, mut stream: Stream) {
+        let limits = &self.limits;
+        let way = Rc::new(Signal::default());
+        let mut buf = Vec::new();
+        loop {
+            if buf.is_empty() {
+                // Most connections rest most of the time: they hold no buffer meanwhile.
+                buf = Vec::new();
+                if !self.rest(&mut stream, &way).await {
+                    return;
+                }
+            }
+            let arrival = self
+                .rt
+                .timeout(limits.request_s, read_request(&mut stream, &mut buf))
+                .await;
+            let (request, close) = match arrival {
+                Ok(Ok(Some(arrived))) => arrived,
+                Ok(Ok(None)) => return,
+                Ok(Err(bad)) => {
+                    let answer = Response::error(bad.status(), &bad.to_string());
+                    return Box::pin(refuse(&self.rt, &mut stream, answer)).await;
+                }
+                Err(_) => {
+                    let answer = Response::error(408, "request too slow");
+                    return Box::pin(refuse(&self.rt, &mut stream, answer)).await;
+                }
+            };
+            let answer = (self.handler)(request).await;
+            let close = close || self.live.get() >= limits.crowded();
+            let answer = answer.encode(close);
+            let sent = self
+                .rt
+                .timeout(limits.request_s, stream.write_all(&answer))
+                .await;
+            if close || !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+    }
 }
 
 /// Serves connections until cancelled.
 pub async fn serve(rt: Rt, mut listener: Listener, limits: ServerLimits, handler: Handler) {
     let scope = Scope::new(&rt);
-    // As many again are answered "later" at once; beyond that connections are just closed.
+    let server = Rc::new(Server {
+        rt: rt.clone(),
+        limits,
+        handler,
+        live: Cell::new(0),
+        next_rest: Cell::new(0),
+        resting: RefCell::default(),
+    });
+    // Some more are answered "later" at once; beyond that connections are just closed.
     let turned_away = Scope::new(&rt);
     loop {
         match listener.accept().await {
-            Ok(stream) if scope.live() < limits.connections => {
-                scope.spawn(connection(rt.clone(), stream, limits, handler.clone()));
+            Ok(stream) if scope.live() < limits.connections || server.make_way() => {
+                let server = server.clone();
+                server.live.set(scope.live() + 1);
+                scope.spawn(async move {
+                    server.connection(stream).await;
+                    server.live.set(server.live.get().saturating_sub(1));
+                });
             }
-            Ok(stream) if turned_away.live() < limits.connections / 8 + 1 => {
+            Ok(stream) if turned_away.live() < limits.turned_away() => {
                 turned_away.spawn(turn_away(rt.clone(), stream));
             }
             Ok(_) => {}
@@ -299,47 +419,12 @@
 }
 
 async fn turn_away(rt: Rt, mut stream: Stream) {
-    let answer = Response::later(503, "too many connections", 2).encode(true);
-    let _ = rt.timeout(1.0, stream.write_all(&answer)).await;
-}
-
-async fn connection(rt: Rt, mut stream: Stream, limits: ServerLimits, handler: Handler) {
-    let mut buf = Vec::new();
-    loop {
-        if buf.is_empty() {
-            let first = rt.timeout(limits.idle_s, fill(&mut stream, &mut buf)).await;
-            if !matches!(first, Ok(Ok(true))) {
-                return;
-            }
-        }
-        let arrival = rt
-            .timeout(limits.request_s, read_request(&mut stream, &mut buf))
-            .await;
-        let (request, close) = match arrival {
-            Ok(Ok(Some(arrived))) => arrived,
-            Ok(Ok(None)) => return,
-            Ok(Err(bad)) => {
-                refuse(
-                    &rt,
-                    &mut stream,
-                    Response::error(bad.status(), &bad.to_string()),
-                )
-                .await;
-                return;
-            }
-            Err(_) => {
-                refuse(&rt, &mut stream, Response::error(408, "request too slow")).await;
-                return;
-            }
-        };
-        let answer = handler(request).await.encode(close);
-        let sent = rt
-            .timeout(limits.request_s, stream.write_all(&answer))
-            .await;
-        if close || !matches!(sent, Ok(Ok(()))) {
-            return;
-        }
-    }
+    refuse(
+        &rt,
+        &mut stream,
+        Response::later(503, "too many connections", 2),
+    )
+    .await;
 }
 
 async fn refuse(rt: &Rt, stream: &mut Stream, answer: Response) {
@@ -425,7 +510,7 @@
 }
 
 /// Connections a client keeps at rest.
-const IDLE_MAX: usize = 4;
+pub const IDLE_MAX: usize = 4;
 /// How long a connection may rest before it is not used again.
 const IDLE_S: f64 = 20.0;
 
@@ -594,4 +679,86 @@
             Err(Bad::BodyTooLarge)
         );
     }
+
+    const ASK: &[u8] = b"GET /x HTTP/1.1\r\n\r\n";
+
+    async fn exchange(stream: &mut Stream) -> String {
+        stream.write_all(ASK).await.unwrap();
+        let mut buf = Vec::new();
+        while !buf.ends_with(b"{}") && fill(stream, &mut buf).await.unwrap() {}
+        String::from_utf8(buf).unwrap()
+    }
+
+    /// Serves up to `connections` and lets `clients` loose on them.
+    fn with_server<F: Future<Output = ()> + 'static>(
+        connections: usize,
+        rest_s: f64,
+        clients: impl FnOnce(Rt, SocketAddr) -> F,
+    ) {
+        let finished = Rc::new(Cell::new(false));
+        let end = finished.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            let addr = listener.addr().unwrap();
+            let limits = ServerLimits {
+                connections,
+                request_s: 60.0,
+                idle_s: 60.0,
+                rest_s,
+            };
+            let handler: Handler =
+                Rc::new(|_| Box::pin(async { Response::json(200, &serde_json::json!({})) }));
+            let root = Scope::new(rt);
+            root.spawn(serve(rt.clone(), listener, limits, handler));
+            let (rt, clients) = (rt.clone(), clients(rt.clone(), addr));
+            root.spawn(async move {
+                clients.await;
+                end.set(true);
+                rt.stop();
+            });
+            Ok(root)
+        })
+        .unwrap();
+        assert!(finished.get());
+    }
+
+    /// A leader may have more workers than sockets: none of them is kept out by those that came first.
+    #[test]
+    fn many_more_clients_than_connections_are_all_served() {
+        with_server(4, 1e9, |rt, addr| async move {
+            let mut kept = Vec::new();
+            let mut closed = 0;
+            for _ in 0..40 {
+                let mut stream = rt.connect(addr).await.unwrap();
+                let answer = exchange(&mut stream).await;
+                assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+                closed += usize::from(answer.contains("Connection: close"));
+                kept.push(stream);
+            }
+            assert_eq!(closed, 37);
+        });
+    }
+
+    /// Connections at rest once kept others out for minutes.
+    #[test]
+    fn a_connection_that_rests_too_long_makes_way_and_others_do_not() {
+        for (rest_s, status) in [(0.0, "HTTP/1.1 200"), (1e9, "HTTP/1.1 503")] {
+            with_server(5, rest_s, move |rt, addr| async move {
+                let mut resting = Vec::new();
+                for _ in 0..4 {
+                    let mut stream = rt.connect(addr).await.unwrap();
+                    exchange(&mut stream).await;
+                    resting.push(stream);
+                }
+                let _fifth = rt.connect(addr).await.unwrap();
+                let mut sixth = rt.connect(addr).await.unwrap();
+                let answer = exchange(&mut sixth).await;
+                assert!(answer.starts_with(status), "{answer}");
+                assert_eq!(answer.contains("Retry-After"), rest_s > 0.0);
+                // The one that has rested longest was ended, and no other.
+                assert_eq!(resting[0].is_quiet(), rest_s > 0.0);
+                assert!(resting[1..].iter_mut().all(Stream::is_quiet));
+            });
+        }
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,7 +19,7 @@
 use crate::election::{self, Kept, Tenure};
 use crate::expect::Expected;
 use crate::fleet::{DirectMessage, DirectOutcome, Source};
-use crate::http::{CallError, Client, Request, Response, ServerLimits, serve};
+use crate::http::{self, CallError, Client, Request, Response, ServerLimits, serve};
 use crate::lead::{AfterTxn, Lead, TxnOutcome};
 use crate::rt::{Bucket, Pulse, Rt, Scope, Signal, Time};
 use crate::store::{Followed, Store};
@@ -29,12 +29,18 @@
     ReportReply, Submission, Txn, path,
 };
 
-/// Part of the sockets that users and workers may have.
-const SOCKET_SHARE: f64 = 0.6;
+/// Clients of others' services that a node keeps, and sockets for what is not counted.
+const CLIENTS: usize = 3;
+const SPARE_SOCKETS: usize = 16;
+/// At least this part of the sockets is for users and workers.
+const FRONT_SHARE_MIN: f64 = 0.5;
 /// How long a request may take to arrive, in report intervals.
 const REQUEST_REPORTS: f64 = 3.0;
 /// How long a connection may rest, in leases of the workers.
 const IDLE_LEASES: f64 = 4.0;
+/// A connection that rested for so many report intervals is no worker's that goes on reporting
+/// here: when all are taken, it makes way.
+const REST_REPORTS: f64 = 1.5;
 /// Submissions and withdrawals under way at once.
 const USER_WRITES_MAX: usize = 24;
 /// Polls that wait for a read barrier at once.
@@ -71,8 +77,9 @@
 /// not to be sent users.
 const STATE_LOST_REPORTS: f64 = 1.5;
 const STATE_LOST_S_MAX: f64 = 4.5;
-/// Direct messages to workers under way at once.
-const DIRECT_MAX: usize = 24;
+/// Direct messages to workers under way at once: a part of the sockets, and at least so many.
+const DIRECT_SHARE: f64 = 0.02;
+const DIRECT_MIN: usize = 24;
 /// Interval of direct messages to one worker, and their time limit, in report intervals.
 const DIRECT_REPORTS: f64 = 0.5;
 /// Bounds of that time limit.
@@ -175,9 +182,10 @@
         let w = &config.deployment.workers;
         let root = Scope::new(rt);
         let limits = ServerLimits {
-            connections: (config.deployment.limits.max_sockets as f64 * SOCKET_SHARE) as usize,
+            connections: ServerLimits::connections_within(front_sockets(&config)),
             request_s: w.report_s * REQUEST_REPORTS,
             idle_s: w.lease_s * IDLE_LEASES,
+            rest_s: w.report_s * REST_REPORTS,
         };
         let handler = {
             let node = node.clone();
@@ -214,6 +222,25 @@
     })
 }
 
+/// Direct messages to workers under way at once.
+fn directs_max(config: &Config) -> usize {
+    let sockets = config.deployment.limits.max_sockets as f64;
+    ((sockets * DIRECT_SHARE) as usize).max(DIRECT_MIN)
+}
+
+/// Sockets for users and workers: all but those that this node opens itself, which must always find
+/// one, the renewal of the leader's lease above all. A fixed part for them once turned a third of
+/// the workers of a large fleet away while sockets were free.
+fn front_sockets(config: &Config) -> usize {
+    let sockets = config.deployment.limits.max_sockets;
+    let links = config.peers.len() * (cluster::LINKS_PER_PEER + 1);
+    let calls = directs_max(config) + USER_WRITES_MAX + CLIENTS * http::IDLE_MAX;
+    let least = (sockets as f64 * FRONT_SHARE_MIN) as usize;
+    sockets
+        .saturating_sub(links + calls + SPARE_SOCKETS)
+        .max(least)
+}
+
 impl Node {
     fn new(rt: &Rt, config: Rc<Config>) -> Self {
         let d = &config.deployment;
@@ -1102,9 +1129,10 @@
     fn send_directs(self: &Rc<Self>, token: u64, scope: &Rc<Scope>) {
         let now = self.now();
         let gap = self.config.deployment.workers.report_s * DIRECT_REPORTS;
+        let most = directs_max(&self.config);
         let wanted = self
             .with_lead(token, |lead| {
-                lead.directs(now, gap, DIRECT_MAX.saturating_sub(scope.live()))
+                lead.directs(now, gap, most.saturating_sub(scope.live()))
             })
             .unwrap_or_default();
         let limit_s = gap.clamp(DIRECT_S_MIN, DIRECT_S_MAX);
@@ -1278,6 +1306,7 @@
         connections: 16,
         request_s: 5.0,
         idle_s: 60.0,
+        rest_s: 30.0,
     };
 
     fn answer(status: u16, text: String) -> Response {
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Waits until there is something to read, or the end.
+    pub async fn readable(&mut self) {
+        self.0.readable().await;
+    }
+
     /// Writes all bytes.
     pub async fn write_all(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
