Cleared log values that come back count no more; a leader's own pause is no silence

Each value of the log names the oldest that counts; older ones are deleted only after that is stored. A read barrier passed before a pause is not used for an answer after it. Tests: view, scenarios.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -270,7 +270,10 @@
         let silent_s = w.report_s * t.silent_reports;
         let up = || self.fleet.machines.values().filter(|m| m.is_up());
         let heard = up()
-            .filter(|m| m.last_word().is_some_and(|h| now - h < silent_s))
+            .filter(|m| {
+                m.last_word()
+                    .is_some_and(|h| self.silent_s(h, now) < silent_s)
+            })
             .count();
         // When hardly anybody is heard any more, it is rather this node that is cut off: then
         // only the workers' leases tell.
@@ -292,20 +295,20 @@
                 true
             } else if let Some(since) = m.deaf_since {
                 // What is on it ends with its worker's lease: nothing renews that.
-                trusted && !mute && now - since > silent_s
+                trusted && !mute && self.silent_s(since, now) > silent_s
             } else if self.is_cut_off(m) && m.only_stopped() {
                 // What is left there of gangs that have broken holds all of them up.
                 trusted
             } else if m.is_up() {
                 let last = m.last_word().unwrap_or(self.began);
-                trusted && now - last > silent_s
+                trusted && self.silent_s(last, now) > silent_s
             } else if let Some(up_at) = m.listed_running {
-                trusted && now - up_at.max(self.began) > silent_s
+                trusted && self.silent_s(up_at.max(self.began), now) > silent_s
             } else if m.listed_at.is_some() || m.type_ix.is_some() {
                 now - m.rented > boot_s * t.lost_boots
             } else {
                 // Known only from a former leader's notes.
-                trusted && now - self.began > silent_s
+                trusted && self.silent_s(self.began, now) > silent_s
             };
             if gone {
                 lost.push(*ix);
@@ -325,9 +328,9 @@
     fn shun_silent_zones(&mut self, now: Time) {
         let report_s = self.config.deployment.workers.report_s;
         let longest = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
-        let heard = |zone: &Rc<str>| {
-            let at = self.zone_heard.get(zone).copied();
-            at.unwrap_or(self.began).max(self.began)
+        let silence = |lead: &Lead, zone: &Rc<str>| {
+            let at = lead.zone_heard.get(zone).copied();
+            lead.silent_s(at.unwrap_or(lead.began).max(lead.began), now)
         };
         let mut zones: HashMap<&Rc<str>, usize> = HashMap::new();
         for m in self.fleet.machines.values() {
@@ -338,9 +341,9 @@
         let others_heard = self
             .zone_heard
             .values()
-            .any(|at| now - at < report_s * SILENT_ZONE_REPORTS * 0.5);
+            .any(|at| self.silent_s(*at, now) < report_s * SILENT_ZONE_REPORTS * 0.5);
         for (zone, machines) in zones {
-            let silent = now - heard(zone) > report_s * SILENT_ZONE_REPORTS;
+            let silent = silence(self, zone) > report_s * SILENT_ZONE_REPORTS;
             if others_heard && silent && machines >= SILENT_ZONE_MIN {
                 let until = now + longest * SHUN_BOOTS;
                 if self.cloud.shunned.insert(zone.clone(), until).is_none() {
@@ -348,11 +351,11 @@
                 }
             }
         }
-        let cut = |zone: &Rc<str>, until: Time| {
-            until > now && now - heard(zone) > report_s * SILENT_ZONE_REPORTS * 0.5
-        };
-        let shunned = std::mem::take(&mut self.cloud.shunned);
-        self.cloud.shunned = shunned.into_iter().filter(|(z, t)| cut(z, *t)).collect();
+        let mut shunned = std::mem::take(&mut self.cloud.shunned);
+        shunned.retain(|zone, until| {
+            *until > now && silence(self, zone) > report_s * SILENT_ZONE_REPORTS * 0.5
+        });
+        self.cloud.shunned = shunned;
     }
 
     /// Whether a machine is in a zone that seems to be cut off.
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -13,7 +13,7 @@
 use crate::expect::Expected;
 use crate::fleet::{Fleet, Slot, SlotKey};
 use crate::pricing::{Amount, Rule};
-use crate::rt::Time;
+use crate::rt::{Pause, Time};
 use crate::runlog::{RunLog, Told, Writer};
 use crate::view::{End, EndRecord, JobView, Mark, View, key};
 use crate::wire::{Change, Condition, MachineType, Submission, Txn};
@@ -59,6 +59,8 @@
     txn: Rc<Txn>,
     /// Values of the log: their numbers, and the tasks they tell of.
     told: Vec<(u64, TaskTold)>,
+    /// The oldest value of the log that counts from then on.
+    oldest: u64,
     /// Old values of the log that go.
     gone: Vec<u64>,
     ends: Vec<JobIx>,
@@ -107,6 +109,8 @@
     write_tokens: f64,
     write_refill: Time,
     pub last_report: Time,
+    /// The last time this node stood still.
+    pause: Pause,
     /// When a machine of each zone was last heard.
     pub(crate) zone_heard: HashMap<Rc<str>, Time>,
 }
@@ -117,7 +121,8 @@
 const LAZY_WRITE_REPORTS: f64 = 0.25;
 /// One write in so many of the leader's is for the log.
 const LOG_WRITES: f64 = 3.0;
-/// Old values of the log cleared away in one transaction.
+/// Old values of the log that are told anew in one transaction, or deleted.
+const RETOLD_MAX: usize = 4;
 const CLEARED_MAX: usize = 4;
 /// Attempts are a token and so many bits of a counter.
 const ATTEMPT_BITS: u32 = 24;
@@ -166,7 +171,7 @@
             cloud: CloudBook::new(now),
             changed: true,
             dirty: BTreeMap::new(),
-            log: RunLog::new(token, view.log.iter().copied()),
+            log: RunLog::new(token, view.log.iter().copied(), view.oldest),
             logged_at: f64::NEG_INFINITY,
             next_attempt: token << ATTEMPT_BITS,
             ends: BTreeSet::new(),
@@ -175,6 +180,7 @@
             write_tokens: 0.0,
             write_refill: now,
             last_report: now,
+            pause: Pause::default(),
             zone_heard: HashMap::new(),
             config,
         };
@@ -191,6 +197,21 @@
         self.by_id.get(id).copied()
     }
 
+    /// This node stood still: what it did not hear meanwhile is no silence of the machines.
+    pub fn note_pause(&mut self, pause: Pause) {
+        self.pause = pause;
+    }
+
+    /// For how long a machine or zone that was last heard then is silent.
+    pub(crate) fn silent_s(&self, heard: Time, now: Time) -> f64 {
+        let own = if heard < self.pause.until {
+            self.pause.length_s.min(self.pause.until - heard)
+        } else {
+            0.0
+        };
+        now - heard - own
+    }
+
     /// Takes in a job as stored, with whatever is known of its tasks.
     pub fn enter_job(&mut self, id: &Rc<str>, stored: &JobView, now: Time) {
         let Some(spec) = &stored.spec else {
@@ -217,6 +238,9 @@
         self.next_job += 1;
         let mut places = Vec::new();
         for (task, (number, mark)) in &stored.tasks {
+            if !self.log.counts(*number) {
+                continue;
+            }
             match mark {
                 Mark::Free => continue,
                 Mark::Done => job.complete(*task, *number),
@@ -582,15 +606,21 @@
         if log_due {
             writers = self.log_changes(ops - txn.changes.len(), now);
         }
+        let mut oldest = self.log.oldest();
+        if let Some(writer) = writers.last_mut() {
+            let (from, learned) = self.retell(writer);
+            oldest = from;
+            for (needed, told) in learned {
+                self.log.learn(needed, told);
+            }
+        }
         // Clearing away is worth no write that anything else could use.
         let spare = txn_ops.min(self.write_tokens as usize / 2);
         let used = txn.changes.len() + writers.len();
-        let gone = self.clear_log(
-            &mut writers,
-            spare.saturating_sub(used + 1).min(CLEARED_MAX),
-        );
+        let gone = self.log.stale(spare.saturating_sub(used).min(CLEARED_MAX));
         let mut told = Vec::new();
-        for writer in writers {
+        for mut writer in writers {
+            writer.record.oldest = oldest;
             let number = self.log.number();
             txn.conditions.push(Condition {
                 key: key::run(number),
@@ -624,6 +654,7 @@
         self.in_flight = Some(InFlight {
             txn: txn.clone(),
             told,
+            oldest,
             gone,
             ends: flight_ends,
             cleared,
@@ -682,12 +713,13 @@
         full
     }
 
-    /// Tells anew what the oldest values still tell alone; returns those that can go.
-    fn clear_log(&mut self, writers: &mut Vec<Writer>, most: usize) -> Vec<u64> {
-        let value_max = (self.config.deployment.state.value_kb * 1024.0) as usize;
-        let mut gone = Vec::new();
+    /// Tells anew what the oldest values still tell alone, in a value that is written in any case;
+    /// returns the oldest that counts from then on. Those before it go later: one that was deleted
+    /// comes back if its transaction is carried out once more, and must not count then.
+    fn retell(&self, writer: &mut Writer) -> (u64, Vec<(usize, usize)>) {
+        let mut oldest = self.log.oldest();
         let mut learned = Vec::new();
-        for (number, tasks) in self.log.oldest(most) {
+        for (number, tasks) in self.log.surplus(RETOLD_MAX) {
             let needed = |ix: &JobIx, task: u32| {
                 // What is over and off all machines is known by its end.
                 let job = self.jobs.get(ix).filter(|_| !self.settled.contains(ix));
@@ -698,28 +730,20 @@
                 .filter_map(|(ix, task)| Some((*ix, *task, needed(ix, *task)?)))
                 .collect();
             learned.push((live.len(), tasks.len()));
-            if !live.is_empty() && writers.is_empty() {
-                writers.push(Writer::new(value_max));
-            }
             let fleet = &self.fleet;
             let place = |m| {
                 let m = fleet.machines.get(&m)?;
                 Some((&*m.name, &*m.zone))
             };
-            let all = live.iter().all(|(ix, task, job)| {
-                let writer = writers.last_mut();
-                writer.is_some_and(|w| w.add(*ix, job, *task, place))
-            });
+            let all = live
+                .iter()
+                .all(|(ix, task, job)| writer.add(*ix, job, *task, place));
             if !all {
                 break;
             }
-            gone.push(number);
-        }
-        writers.retain(|w| !w.is_empty());
-        for (needed, told) in learned {
-            self.log.learn(needed, told);
+            oldest = number + 1;
         }
-        gone
+        (oldest, learned)
     }
 
     /// When something lazy is due to be written, if anything is.
@@ -805,6 +829,7 @@
                 }
             }
         }
+        self.log.forget_before(flight.oldest);
         for number in flight.gone {
             self.log.cleared(number);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -553,10 +553,13 @@
         if self.barrier_queue.borrow().len() >= POLLS_MAX {
             return false;
         }
+        let began = self.now();
         let (tell, told) = oneshot::channel();
         self.barrier_queue.borrow_mut().push(tell);
         self.barrier_work.set();
-        matches!(self.rt.timeout(POLL_S, told).await, Ok(Ok(true)))
+        let passed = matches!(self.rt.timeout(POLL_S, told).await, Ok(Ok(true)));
+        // A word that came before this node stood still is too old for an answer sent after that.
+        passed && self.now() - began <= POLL_S
     }
 
     async fn barrier_duty(self: Rc<Self>) {
@@ -758,6 +761,7 @@
         }
         // What changed between the pages comes with the watch that begins at the first.
         fresh.revision = first.unwrap_or(0);
+        fresh.drop_stale();
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
         self.resync();
@@ -1058,7 +1062,9 @@
                 continue;
             };
             let now = self.now();
+            let pause = self.rt.pause();
             let begun = self.with_lead(token, |lead| {
+                lead.note_pause(pause);
                 let tending = now - tended_at >= tick;
                 if tending {
                     lead.tend(now);
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -52,8 +52,19 @@
     clock: SteadyClock,
     timers: RefCell<Timers>,
     over: Cell<bool>,
+    pause: Cell<Pause>,
 }
 
+/// A time during which this process stood still.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Pause {
+    pub until: Time,
+    pub length_s: f64,
+}
+
+/// The loop stood still if it came back so much later than asked for, without an event.
+const STILL_S: f64 = 0.7;
+
 /// Handle to the runtime, cheap to clone.
 #[derive(Clone)]
 pub struct Rt(Rc<Inner>);
@@ -85,11 +96,14 @@
             clock: SteadyClock::start(),
             timers: RefCell::default(),
             over: Cell::new(false),
+            pause: Cell::default(),
         }));
         let _root = setup(&rt)?;
         while !rt.0.over.get() {
             let wait = rt.until_next_timer();
+            let before = rt.now();
             event_loop.dispatch(wait, &mut ())?;
+            rt.note_gap(before, wait);
             rt.fire_timers();
         }
         Ok(())
@@ -100,6 +114,23 @@
         self.0.over.set(true);
     }
 
+    /// A pause of this process shows as a turn that took far longer than the wait that was asked for.
+    fn note_gap(&self, before: Time, wait: Option<Duration>) {
+        let now = self.now();
+        if wait.is_some_and(|wait| now - before > wait.as_secs_f64() + STILL_S) {
+            tracing::info!("stood still for {:.1} s", now - before);
+            self.0.pause.set(Pause {
+                until: now,
+                length_s: now - before,
+            });
+        }
+    }
+
+    /// The last time that this process stood still.
+    pub fn pause(&self) -> Pause {
+        self.0.pause.get()
+    }
+
     fn until_next_timer(&self) -> Option<Duration> {
         let timers = self.0.timers.borrow();
         let (first, _) = timers.waiting.first_key_value()?.0;
--- a/src/runlog.rs
+++ b/src/runlog.rs
@@ -2,8 +2,9 @@
 //!
 //! A value holds what became of tasks of many jobs since the value before, so that the writes per
 //! second follow the time between two values and not the number of jobs. What an old value still
-//! tells is told once more by a new one, and the old one is deleted with the same transaction:
-//! always the oldest first, so that what it says of tasks that came free can be dropped.
+//! tells is told once more by a new one, always the oldest first, so that what it says of tasks that
+//! came free can be dropped. Each value names the oldest that counts; what is older is deleted
+//! afterwards, and counts no more if a copy of its transaction brings it back.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -29,7 +30,7 @@
 const JOB_PUNCTUATION: usize = 32;
 const RANGE_PUNCTUATION: usize = 5;
 const NAME_PUNCTUATION: usize = 6;
-const RECORD_PUNCTUATION: usize = 32;
+const RECORD_PUNCTUATION: usize = 64;
 
 /// A value being filled.
 #[derive(Debug)]
@@ -158,20 +159,43 @@
     values: BTreeMap<u64, Vec<(JobIx, u32)>>,
     next: u64,
     kept: usize,
+    oldest: u64,
 }
 
 impl RunLog {
-    /// The log as a leader with this token finds it. Its numbers are its token and some bits of a
+    /// The log as a leader with this token finds it, with the oldest value that counts. Its numbers are its token and some bits of a
     /// counter, and so above all that were used before: the store's revision rises with every
     /// transaction, which holds few values.
-    pub fn new(token: u64, stored: impl Iterator<Item = u64>) -> Self {
+    pub fn new(token: u64, stored: impl Iterator<Item = u64>, oldest: u64) -> Self {
         RunLog {
             values: stored.map(|number| (number, Vec::new())).collect(),
             next: token << NUMBER_BITS,
             kept: KEPT_MIN,
+            oldest,
         }
     }
 
+    /// Whether what a value says still counts.
+    pub fn counts(&self, number: u64) -> bool {
+        number >= self.oldest
+    }
+
+    /// The oldest value that counts.
+    pub fn oldest(&self) -> u64 {
+        self.oldest
+    }
+
+    /// It is stored that older values no longer count.
+    pub fn forget_before(&mut self, oldest: u64) {
+        self.oldest = self.oldest.max(oldest);
+    }
+
+    /// Values that no longer count and can be deleted, `most` at the most.
+    pub fn stale(&self, most: usize) -> Vec<u64> {
+        let stale = self.values.range(..self.oldest);
+        stale.map(|(number, _)| *number).take(most).collect()
+    }
+
     /// Notes that a stored value tells of a task.
     pub fn enter(&mut self, number: u64, ix: JobIx, task: u32) {
         self.values.entry(number).or_default().push((ix, task));
@@ -188,10 +212,12 @@
         self.values.remove(&number);
     }
 
-    /// The oldest values to be cleared away now, `most` at the most, with the tasks they told of.
-    pub fn oldest(&self, most: usize) -> impl Iterator<Item = (u64, &[(JobIx, u32)])> {
-        let surplus = self.values.len().saturating_sub(self.kept);
-        let oldest = self.values.iter().take(surplus.min(most));
+    /// The oldest values that are more than need be kept, `most` at the most, with the tasks they
+    /// told of.
+    pub fn surplus(&self, most: usize) -> impl Iterator<Item = (u64, &[(JobIx, u32)])> {
+        let counting = self.values.range(self.oldest..);
+        let surplus = counting.clone().count().saturating_sub(self.kept);
+        let oldest = counting.take(surplus.min(most));
         oldest.map(|(number, tasks)| (*number, tasks.as_slice()))
     }
 
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -8,6 +8,7 @@
 use crate::config::Objective;
 use crate::fleet::{DirectMessage, DirectOutcome, Role, Source};
 use crate::lead::{AfterTxn, Lead, TxnOutcome};
+use crate::rt::Pause;
 use crate::testing::{FakeStore, FakeWorker, job};
 use crate::view::{End, EndRecord, JobView, key};
 use crate::wire::{Change, Command, Kind, Priority, Submission, Why};
@@ -1177,3 +1178,29 @@
         assert_eq!(again, if all { 0 } else { 4 });
     }
 }
+
+/// A controller that stood still for some seconds hears first the few whose reports came early. The
+/// others were silent only because it did not listen: they were once returned as lost.
+#[test]
+fn a_pause_of_the_leader_is_no_silence_of_the_machines() {
+    for (paused, expected) in [(true, 0), (false, 3)] {
+        let mut store = FakeStore::default();
+        let mut lead = store.elect("n0", 0.0);
+        let mut ws: Vec<FakeWorker> = (0..8)
+            .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+            .collect();
+        for w in &mut ws {
+            meet(w, &mut lead, 1.0);
+        }
+        if paused {
+            let (until, length_s) = (9.5, 8.0);
+            lead.note_pause(Pause { until, length_s });
+        }
+        for w in &mut ws[3..] {
+            w.checkin(&mut lead, 9.5);
+        }
+        lead.last_report = 9.5;
+        lead.tend(9.5);
+        assert_eq!(returned(&mut lead, 9.5).len(), expected);
+    }
+}
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -107,6 +107,7 @@
             view.apply(key, Some(value), *version);
         }
         view.revision = self.revision;
+        view.drop_stale();
         view
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -77,6 +77,10 @@
 /// What became of tasks of many jobs, written compactly: much must fit into one value.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LogRecord {
+    /// The oldest value that still counts when this one is written. A cleared one may come back when
+    /// its transaction is carried out once more: what it says is then no longer so.
+    #[serde(rename = "o", default, skip_serializing_if = "is_zero")]
+    pub oldest: u64,
     #[serde(rename = "z", default, skip_serializing_if = "Vec::is_empty")]
     pub zones: Vec<String>,
     /// Machines and the places of their zones in the list above.
@@ -201,6 +205,20 @@
         }
     }
 
+    /// Drops what values of the log older than `oldest` said.
+    fn drop_stale(&mut self, oldest: u64) {
+        let stale: Vec<u32> = self
+            .tasks
+            .iter()
+            .filter(|(_, (number, _))| *number < oldest)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in stale {
+            self.mark(task, u64::MAX, Mark::Free);
+            self.tasks.remove(&task);
+        }
+    }
+
     fn forget_tasks(&mut self) {
         self.tasks.clear();
         self.done = 0;
@@ -228,6 +246,8 @@
     pub types: Option<Rc<Vec<MachineType>>>,
     /// Numbers of the log's values.
     pub log: BTreeSet<u64>,
+    /// The oldest value of the log that counts, as far as known.
+    pub oldest: u64,
 }
 
 impl View {
@@ -283,7 +303,11 @@
                 match value {
                     Some(value) => {
                         self.log.insert(number);
-                        self.take_log(number, parse(value)?);
+                        let record: LogRecord = parse(value)?;
+                        self.oldest = self.oldest.max(record.oldest);
+                        if number >= self.oldest {
+                            self.take_log(number, record);
+                        }
                     }
                     None => {
                         self.log.remove(&number);
@@ -295,6 +319,14 @@
         }
     }
 
+    /// Drops what only values of the log that no longer count say: pages come in the order of names,
+    /// and which these are may be known by the last.
+    pub fn drop_stale(&mut self) {
+        for job in self.jobs.values_mut() {
+            job.drop_stale(self.oldest);
+        }
+    }
+
     /// Takes in a value of the log. What it says of jobs that are forgotten tells nothing; a job
     /// not yet known, as while pages are read, comes once more by the watch, and so does this.
     fn take_log(&mut self, number: u64, record: LogRecord) {
@@ -341,3 +373,46 @@
         .inspect_err(|e| tracing::error!("stored value not understood: {e}"))
         .ok()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::testing::job;
+
+    fn raw(text: &str) -> Box<RawValue> {
+        RawValue::from_string(text.to_owned()).unwrap()
+    }
+
+    /// A value of the log that was cleared away comes back when its transaction is carried out once
+    /// more. It once bound a task again to a machine that it had long left.
+    #[test]
+    fn a_cleared_value_of_the_log_that_comes_back_tells_nothing() {
+        let spec = serde_json::to_string(&job("j-1", 2)).unwrap();
+        let old = r#"{"z":["north"],"m":[["i-1",0]],"j":[{"i":"j-1","a":7,"b":[[0,2,0]]}]}"#;
+        let newer = r#"{"o":9,"j":[{"i":"j-1","d":[[1,1]],"f":[[0,1]]}]}"#;
+        let newest = r#"{"o":10,"j":[{"i":"j-1","d":[[1,1]]}]}"#;
+        let shown = |view: &View| {
+            let status = view.jobs["j-1"].status("j-1");
+            (status.done, status.running)
+        };
+        let mut view = View::default();
+        view.apply(&key::job("j-1"), Some(&raw(&spec)), 1);
+        view.apply(&key::run(8), Some(&raw(old)), 2);
+        assert_eq!(shown(&view), (0, 2));
+        view.apply(&key::run(9), Some(&raw(newer)), 3);
+        view.apply(&key::run(10), Some(&raw(newest)), 4);
+        for number in [8, 9] {
+            view.apply(&key::run(number), None, 5);
+        }
+        assert_eq!(shown(&view), (1, 0));
+        view.apply(&key::run(8), Some(&raw(old)), 6);
+        assert_eq!(shown(&view), (1, 0));
+        // Read anew, in the order of names: the old word comes before the one that takes it back.
+        let mut fresh = View::default();
+        fresh.apply(&key::job("j-1"), Some(&raw(&spec)), 1);
+        fresh.apply(&key::run(8), Some(&raw(old)), 6);
+        fresh.apply(&key::run(10), Some(&raw(newest)), 4);
+        fresh.drop_stale();
+        assert_eq!(shown(&fresh), (1, 0));
+    }
+}
