--- a/src/lead.rs
+++ b/src/lead.rs
@@ -65,8 +65,6 @@
     gone: Vec<u64>,
     ends: Vec<JobIx>,
     cleared: Vec<JobIx>,
-    /// Whether an earlier copy may have been or may yet be applied.
-    in_doubt: bool,
 }
 
 /// The tasks that a value of the log tells of, and what.
@@ -488,6 +486,7 @@
         if let Some(job) = self.jobs.get_mut(&ix) {
             job.slots += 1;
         }
+        self.settled.remove(&ix);
         self.use_team(ix, 1.0);
     }
 
@@ -658,7 +657,6 @@
             gone,
             ends: flight_ends,
             cleared,
-            in_doubt: false,
         });
         Some(txn)
     }
@@ -760,7 +758,7 @@
 
     /// Takes in the outcome of the transaction under way.
     pub fn txn_done(&mut self, outcome: TxnOutcome, now: Time) -> AfterTxn {
-        let Some(flight) = &mut self.in_flight else {
+        let Some(flight) = &self.in_flight else {
             return AfterTxn::Go;
         };
         match outcome {
@@ -768,11 +766,7 @@
                 self.applied(now);
                 AfterTxn::Go
             }
-            TxnOutcome::Unknown => {
-                flight.in_doubt = true;
-                AfterTxn::Again
-            }
-            TxnOutcome::Refused => AfterTxn::Again,
+            TxnOutcome::Unknown | TxnOutcome::Refused => AfterTxn::Again,
             TxnOutcome::Conflict(failed) => {
                 if failed.contains(&key::leader()) {
                     return AfterTxn::Lost;
@@ -783,12 +777,9 @@
                     .map(|ix| key::end(&self.jobs[ix].id))
                     .collect();
                 if let Some(other) = failed.iter().find(|k| !ends.contains(k)) {
-                    // Only this tenure writes that key: a copy sent before was applied.
-                    return if flight.in_doubt {
-                        AfterTxn::ReadBack(other.clone())
-                    } else {
-                        AfterTxn::Lost
-                    };
+                    // Only this tenure writes that key: a copy was applied, even if all that is
+                    // known of is one that was refused. The office was once given up for that.
+                    return AfterTxn::ReadBack(other.clone());
                 }
                 // A user's withdrawal came first, or a copy of ours; the view will tell which.
                 let Some(flight) = self.in_flight.take() else {
@@ -841,6 +832,11 @@
             self.maybe_settle(ix);
         }
         for ix in flight.cleared {
+            // A stray attempt may have shown up while this was written: the job is needed until that
+            // is off. Its going once ended the process.
+            if self.jobs.get(&ix).is_some_and(|job| job.slots > 0) {
+                continue;
+            }
             self.settled.remove(&ix);
             if let Some(job) = self.jobs.remove(&ix) {
                 self.by_id.remove(&job.id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod view;
 pub mod wire;
 
+#[cfg(test)]
+mod chaos;
 #[cfg(test)]
 mod scenarios;
 #[cfg(test)]
