--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-use crate::book::{JobIx, MachineIx, amount};
+use crate::book::{Job, JobIx, MachineIx, amount};
 use crate::expect::{JOBS_KEPT, Mean, class_name};
 use crate::fleet::{Machine, Role};
 use crate::lead::{Lead, type_allowed};
 use crate::pricing::Amount;
 use crate::rt::Time;
+use crate::scheduler::BEGIN_S;
 use crate::wire::{ListedMachine, MachineState, MachineType, Priority, Rent, Submission};
 
 /// A sort of work: jobs of one class that may use the same machines.
@@ -145,6 +146,10 @@
 const SETTLE_REPORTS: f64 = 1.5;
 /// Or earlier, once this part of the machines has been heard.
 const HEARD_SHARE: f64 = 0.95;
+/// Work that has not begun after this part of the time within which it should is sized by itself,
+/// so many jobs at once.
+const OVERLOOKED: f64 = 0.5;
+const OVERLOOKED_MAX: usize = 8;
 /// Names kept of returned machines.
 const RETURNED_KEPT: usize = 4096;
 
@@ -428,6 +433,18 @@
         let mut units = self.units(now);
         let mut rents = Rents::new();
         let there = self.pool_counts();
+        for (name, own) in self.overlooked(&units, now) {
+            if let Some(class) = self.classes.get_mut(&name) {
+                class.pending -= own.pending;
+            }
+            let (tasks, class) = (own.pending, &own);
+            let want = Want {
+                full: tasks,
+                lean: tasks,
+                rent: tasks,
+            };
+            self.cover(class, want, &mut units, &there, &mut rents, now);
+        }
         let mut classes: Vec<Class> = self.classes.values().cloned().collect();
         // Work that takes most of a machine chooses first, then what has least choice.
         classes.sort_by_key(|c| {
@@ -490,6 +507,76 @@
         }
     }
 
+    /// Jobs that the means of their class tell nothing of, and that have waited for long: tasks
+    /// larger than usual, or a gang for a single zone where the class has several. By the mean
+    /// there was room for them all the time, and one once waited for ever.
+    fn overlooked(&self, units: &[Unit], now: Time) -> Vec<(String, Class)> {
+        let waits = |job: &&Job| {
+            let begun = job.bound + job.done > 0;
+            !begun && job.not_before <= now && now - job.since > BEGIN_S * OVERLOOKED
+        };
+        let jobs = self.active.iter().map(|ix| &self.jobs[ix]).filter(waits);
+        let mut found: Vec<(String, Class)> = jobs
+            .filter_map(|job| {
+                let name = class_name(&job.spec);
+                let class = self.classes.get(&name)?;
+                let zone = self.zone_for(job, units, now);
+                let usual = job.amount().fits(class.amount);
+                (!usual || zone.is_some()).then(|| {
+                    let mut spec = (*job.spec).clone();
+                    spec.zone = zone.or(spec.zone);
+                    let own = Class {
+                        spec: Rc::new(spec),
+                        amount: job.amount(),
+                        pending: f64::from(job.pending()),
+                        bound: 0.0,
+                        ..class.clone()
+                    };
+                    (name, own)
+                })
+            })
+            .take(OVERLOOKED_MAX)
+            .collect();
+        // Those that take most choose first.
+        found.sort_by(|a, b| b.1.amount.cpus.total_cmp(&a.1.amount.cpus));
+        found
+    }
+
+    /// In which of several zones there is or may be most room for a gang that must be in one.
+    fn zone_for(&self, job: &Job, units: &[Unit], now: Time) -> Option<String> {
+        let spec = &job.spec;
+        if !job.is_gang() || !spec.one_zone || spec.zone.is_some() {
+            return None;
+        }
+        let kinds = self.kinds(spec);
+        let mut zones: BTreeMap<&str, f64> = BTreeMap::new();
+        for (type_ix, spot) in &kinds {
+            for zone in &self.types[*type_ix].zones {
+                let pool = PoolKey {
+                    type_ix: *type_ix,
+                    spot: *spot,
+                    zone: zone.as_str().into(),
+                };
+                let refuses = |p: &Pool| p.refused_until > now || p.backoff_s > 0.0;
+                let open = !self.cloud.pools.get(&pool).is_some_and(refuses);
+                *zones.entry(zone).or_default() += f64::from(u8::from(open)) * 0.5;
+            }
+        }
+        for unit in units
+            .iter()
+            .filter(|u| kinds.contains(&(u.type_ix, u.spot)))
+        {
+            if let Some(room) = zones.get_mut(&*unit.zone) {
+                *room += tasks_that_fit(job.amount(), self.capacity_of(unit.type_ix));
+            }
+        }
+        if zones.len() < 2 {
+            return None;
+        }
+        let most = zones.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
+        most.map(|(zone, _)| zone.to_owned())
+    }
+
     /// Whether a new leader knows well enough what is there to rent more: it once rented a second
     /// fleet before it had heard of the first.
     fn knows_fleet(&self, now: Time) -> bool {
--- a/src/chaos.rs
+++ b/src/chaos.rs
@@ -31,8 +31,8 @@
     Nothing,
     /// Tasks of a silent machine count as off it before its worker's lease has run out.
     Lease,
-    /// Late copies count as if they showed the leader's token.
-    Fence,
+    /// Late copies of reports count as if they were new.
+    Copies,
 }
 
 /// What is under way between two parties.
@@ -673,11 +673,15 @@
     fn take_report(&mut self, at: usize, mut report: Report, late: bool) {
         let now = self.now;
         let leader = self.office.map(|(node, ..)| node).filter(|n| *n != at);
-        let forged = self.broken == Broken::Fence && late;
+        let forged = self.broken == Broken::Copies && late;
         let Some(lead) = self.acting(at) else {
             return self.answer(&report, None, leader);
         };
         if forged {
+            let known = lead.fleet.find(&report.machine);
+            if let Some(m) = known.and_then(|ix| lead.fleet.machines.get(&ix)) {
+                (report.session, report.seq) = (m.session, m.seq + 1);
+            }
             report.token = lead.token;
         }
         if report.token > lead.token {
@@ -1109,7 +1113,7 @@
 /// The checks above must be able to fail.
 #[test]
 fn a_broken_guard_is_found() {
-    for broken in [Broken::Lease, Broken::Fence] {
+    for broken in [Broken::Lease, Broken::Copies] {
         let found = (0..24).find_map(|seed| World::new(seed, broken).play().pop());
         let found = found.expect("nothing found");
         assert!(found.contains(" and "), "{broken:?}: {found}");
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -1204,3 +1204,55 @@
         assert_eq!(returned(&mut lead, 9.5).len(), expected);
     }
 }
+
+/// By the mean of its class a gang's tasks fitted on a machine together, so none was ever rented for it.
+#[test]
+fn a_gang_larger_than_its_class_is_used_to_gets_its_machines() {
+    let mut store = FakeStore::default();
+    for i in 1..=9 {
+        store.submit(&job(&format!("j-{i}"), 1));
+    }
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws = vec![FakeWorker::new("i-1", "small", "north")];
+    let mut now = 0.0;
+    while store.end("j-10").is_none() {
+        now += 3.0;
+        assert!(now < 150.0 + 240.0);
+        if now == 150.0 {
+            store.submit(&gang("j-10", 3));
+            let id: Rc<str> = "j-10".into();
+            lead.enter_job(&id, &store.view().jobs[&id], now);
+        }
+        for w in &mut ws {
+            w.checkin(&mut lead, now);
+            for task in w.running() {
+                w.end(&task, Why::Done);
+            }
+        }
+        lead.tend(now);
+        store.settle(&mut lead, now);
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(rent, _) if rent.type_name == "small" => {
+                    let first = ws.len() + 1;
+                    let names = (0..rent.count as usize).map(|i| format!("i-{}", first + i));
+                    let names: Vec<String> = names.collect();
+                    ws.extend(
+                        names
+                            .iter()
+                            .map(|n| FakeWorker::new(n, "small", &rent.zone)),
+                    );
+                    CloudAnswer::Rented(names)
+                }
+                CloudCall::Rent(..) => CloudAnswer::NoCapacity,
+                CloudCall::List { .. } => CloudAnswer::List(Vec::new(), false),
+                CloudCall::Delete(names) => {
+                    ws.retain(|w| !names.contains(&w.report.machine));
+                    CloudAnswer::Deleted
+                }
+                CloudCall::Types => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+    }
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -16,7 +16,7 @@
 /// Run times of tasks vary: so much of the mean is reckoned with.
 const RUN_MARGIN: f64 = 1.3;
 /// The largest work is to begin within this time, the users say.
-const BEGIN_S: f64 = 240.0;
+pub(crate) const BEGIN_S: f64 = 240.0;
 /// In which part of that time machines are gathered for a gang, and after what part again.
 /// Earlier, the small gangs that wait meanwhile cost more than the large one gains.
 const GATHER: std::ops::Range<f64> = 0.75..1.5;
