Placement looks only at machines with room, classes are named once, long rounds rest

A profile of the core with 2,600 machines and a long queue: 80 of 100 in placement passes over full machines, a third of that in naming classes anew for each job.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -243,15 +243,15 @@
 
     /// A task ran for so long.
     pub(crate) fn note_run(&mut self, ix: JobIx, ran: f64) {
-        let name = class_name(&self.jobs[&ix].spec);
-        self.expected.borrow_mut().note_run(&name, ran);
+        let name = &self.jobs[&ix].class;
+        self.expected.borrow_mut().note_run(name, ran);
     }
 
     /// How long tasks like a job's run.
-    pub(crate) fn run_s(&self, spec: &Submission) -> f64 {
+    pub(crate) fn run_s(&self, job: &Job) -> f64 {
         self.classes
-            .get(&class_name(spec))
-            .map_or(spec.estimate_s, Class::run_s)
+            .get(&*job.class)
+            .map_or(job.spec.estimate_s, Class::run_s)
     }
 
     /// Looks after machines: lost ones, needed ones, unneeded ones.
@@ -420,7 +420,7 @@
             } else {
                 job.pending()
             };
-            if let Some(class) = self.classes.get_mut(&class_name(&job.spec)) {
+            if let Some(class) = self.classes.get_mut(&*job.class) {
                 class.pending += f64::from(waiting);
                 class.bound += f64::from(job.bound);
             }
@@ -434,7 +434,7 @@
         let mut rents = Rents::new();
         let there = self.pool_counts();
         for (name, own) in self.overlooked(&units, now) {
-            if let Some(class) = self.classes.get_mut(&name) {
+            if let Some(class) = self.classes.get_mut(&*name) {
                 class.pending -= own.pending;
             }
             let (tasks, class) = (own.pending, &own);
@@ -510,16 +510,15 @@
     /// Jobs that the means of their class tell nothing of, and that have waited for long: tasks
     /// larger than usual, or a gang for a single zone where the class has several. By the mean
     /// there was room for them all the time, and one once waited for ever.
-    fn overlooked(&self, units: &[Unit], now: Time) -> Vec<(String, Class)> {
+    fn overlooked(&self, units: &[Unit], now: Time) -> Vec<(Rc<str>, Class)> {
         let waits = |job: &&Job| {
             let begun = job.bound + job.done > 0;
             !begun && job.not_before <= now && now - job.since > BEGIN_S * OVERLOOKED
         };
         let jobs = self.active.iter().map(|ix| &self.jobs[ix]).filter(waits);
-        let mut found: Vec<(String, Class)> = jobs
+        let mut found: Vec<(Rc<str>, Class)> = jobs
             .filter_map(|job| {
-                let name = class_name(&job.spec);
-                let class = self.classes.get(&name)?;
+                let class = self.classes.get(&*job.class)?;
                 let zone = self.zone_for(job, units, now);
                 let usual = job.amount().fits(class.amount);
                 (!usual || zone.is_some()).then(|| {
@@ -532,7 +531,7 @@
                         bound: 0.0,
                         ..class.clone()
                     };
-                    (name, own)
+                    (job.class.clone(), own)
                 })
             })
             .take(OVERLOOKED_MAX)
@@ -755,7 +754,7 @@
             .active
             .iter()
             .map(|ix| &self.jobs[ix])
-            .filter(|j| class_name(&j.spec) == name)
+            .filter(|j| *j.class == name)
             .map(|j| now - j.since)
             .filter(|age| *age < wait)
             .fold(0.0, f64::max);
--- a/src/book.rs
+++ b/src/book.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
+use crate::expect::class_name;
 use crate::pricing::Amount;
 use crate::rt::Time;
 use crate::runlog::Told;
@@ -34,6 +35,8 @@
 pub struct Job {
     pub id: Rc<str>,
     pub spec: Rc<Submission>,
+    /// Its class, as by [`class_name`].
+    pub class: Rc<str>,
     pub team: usize,
     /// Order of acceptance.
     pub order: u64,
@@ -65,6 +68,7 @@
     pub fn new(id: Rc<str>, spec: Rc<Submission>, team: usize, order: u64, since: Time) -> Self {
         Job {
             id,
+            class: class_name(&spec).into(),
             tasks: vec![Task::Pending; spec.tasks as usize],
             spec,
             team,
--- a/src/node.rs
+++ b/src/node.rs
@@ -61,6 +61,9 @@
 const FOLLOW_STALE_S: f64 = 0.4;
 /// Shortest time between two rounds of the leader's duty, so that reports are taken in groups.
 const DUTY_GAP_S: f64 = 0.03;
+/// After a round that took long the next one waits for so many times as long: a crowd must not keep
+/// reports and the lease's renewal waiting.
+const DUTY_REST: f64 = 1.0;
 /// Interval in which the leader looks after machines, in report intervals, and the longest.
 const TEND_REPORTS: f64 = 0.15;
 const TEND_S_MAX: f64 = 0.5;
@@ -1045,6 +1048,7 @@
         let tick = (self.config.deployment.workers.report_s * TEND_REPORTS).min(TEND_S_MAX);
         let directs = Rc::new(Scope::new(&self.rt));
         let mut tended_at = f64::NEG_INFINITY;
+        let mut took_s: f64 = 0.0;
         loop {
             let now = self.now();
             let due = self
@@ -1057,7 +1061,7 @@
                 let work = std::pin::pin!(self.work.take());
                 select(work, self.rt.sleep(due)).await;
             }
-            self.rt.sleep(DUTY_GAP_S).await;
+            self.rt.sleep(DUTY_GAP_S.max(took_s * DUTY_REST)).await;
             let Some(token) = self.acting() else {
                 continue;
             };
@@ -1072,6 +1076,7 @@
                 lead.plan(now);
                 tending && lead.is_mute()
             });
+            took_s = self.now() - now;
             match begun {
                 None => continue,
                 Some(false) => {}
--- a/src/pricing.rs
+++ b/src/pricing.rs
@@ -28,6 +28,15 @@
         self.plus(other.times(-1.0))
     }
 
+    /// The lesser of each.
+    pub fn least(self, other: Amount) -> Amount {
+        Amount {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
+
     /// Multiple.
     pub fn times(self, n: f64) -> Amount {
         Amount {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -70,39 +70,7 @@
         if !std::mem::take(&mut self.changed) || self.active.is_empty() {
             return;
         }
-        let lend: Vec<Option<Priority>> = (0..self.types.len())
-            .map(|type_ix| self.lend_below(type_ix))
-            .collect();
-        let costs: Vec<[f64; 2]> = (0..self.types.len())
-            .map(|t| [self.unit_price(t, false), self.unit_price(t, true)])
-            .collect();
-        let mut places: Vec<Place> = self
-            .fleet
-            .machines
-            .iter()
-            .filter(|(_, m)| self.is_open(m, now))
-            .filter_map(|(ix, m)| {
-                Some(Place {
-                    ix: *ix,
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    type_ix: m.type_ix?,
-                    role: m.role,
-                    lend_below: lend
-                        .get(m.type_ix?)
-                        .copied()
-                        .flatten()
-                        .filter(|_| m.surplus_since.is_none()),
-                    cost: costs[m.type_ix?][usize::from(m.spot)],
-                    kept: false,
-                    now: Candidate {
-                        capacity: m.capacity,
-                        used: m.used,
-                        price: m.price,
-                    },
-                })
-            })
-            .collect();
+        let mut places = self.places(now);
         if places.is_empty() {
             return;
         }
@@ -122,7 +90,7 @@
             };
             if !found {
                 if !keeping && self.gathers(&self.jobs[&ix], now) {
-                    keeping = self.keep_room(ix, &mut places);
+                    keeping = self.keep_room(ix, &mut places, now);
                 }
                 no_room.push(NoRoom { spec, tasks });
             }
@@ -132,6 +100,49 @@
         }
     }
 
+    /// The open machines that have room for the smallest task that waits. In a crowd nearly all are
+    /// full, and a pass over them for each waiting job once took all of the leader's share.
+    fn places(&self, now: Time) -> Vec<Place> {
+        let costs: Vec<[f64; 2]> = (0..self.types.len())
+            .map(|t| [self.unit_price(t, false), self.unit_price(t, true)])
+            .collect();
+        let waiting = self.active.iter().map(|ix| self.jobs[ix].amount());
+        let smallest = waiting.reduce(Amount::least).unwrap_or_default();
+        let mut places: Vec<Place> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| smallest.fits(m.capacity.minus(m.used)) && self.is_open(m, now))
+            .filter_map(|(ix, m)| {
+                let type_ix = m.type_ix?;
+                Some(Place {
+                    ix: *ix,
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    type_ix,
+                    role: m.role,
+                    lend_below: None,
+                    cost: costs[type_ix][usize::from(m.spot)],
+                    kept: false,
+                    now: Candidate {
+                        capacity: m.capacity,
+                        used: m.used,
+                        price: m.price,
+                    },
+                })
+            })
+            .collect();
+        let mut lend: HashMap<usize, Option<Priority>> = HashMap::new();
+        for place in places.iter_mut().filter(|p| p.role != Role::Shared) {
+            let type_ix = place.type_ix;
+            let below = lend.entry(type_ix);
+            let below = *below.or_insert_with(|| self.lend_below(type_ix));
+            let surplus = |m: &Machine| m.surplus_since.is_some();
+            place.lend_below = below.filter(|_| !surplus(&self.fleet.machines[&place.ix]));
+        }
+        places
+    }
+
     /// Whether a machine may be given work: it has shown our token and nothing speaks against it.
     pub(crate) fn is_open(&self, m: &Machine, now: Time) -> bool {
         !self.is_quiet(m, now)
@@ -149,7 +160,7 @@
     /// Work whose moment has passed makes way for work that can still be in time, but not for
     /// ever: after a few times its longest objective it is due again.
     fn due(&self, job: &Job, now: Time) -> Time {
-        let run_s = self.run_s(&job.spec) * RUN_MARGIN;
+        let run_s = self.run_s(job) * RUN_MARGIN;
         let team = &self.config.deployment.teams[job.team];
         let guaranteed = team.cpus > 0.0 || team.gpus > 0.0;
         let mut next = f64::INFINITY;
@@ -309,20 +320,23 @@
     /// Keeps the room that a gang could use from all that comes later in this pass, if there are
     /// machines enough for it in the end. Small gangs once took each large machine that came free,
     /// and those of sixteen tasks waited for minutes.
-    fn keep_room(&self, ix: JobIx, places: &mut [Place]) -> bool {
+    fn keep_room(&self, ix: JobIx, places: &mut [Place], now: Time) -> bool {
         let job = &self.jobs[&ix];
         let spec = &job.spec;
         let amount = job.amount();
-        let suits = |p: &Place| {
-            type_allowed(spec, &self.types[p.type_ix])
-                && (spec.spot || !p.spot)
-                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
-                && (p.role == Role::Large || !self.is_large_on(amount, p.type_ix))
+        let suits = |type_ix: usize, spot: bool, zone: &str, role: Role| {
+            type_allowed(spec, &self.types[type_ix])
+                && (spec.spot || !spot)
+                && spec.zone.as_ref().is_none_or(|z| z == zone)
+                && (role == Role::Large || !self.is_large_on(amount, type_ix))
         };
         let mut by_zone: HashMap<Rc<str>, usize> = HashMap::new();
-        for p in places.iter().filter(|p| suits(p)) {
-            let fit = tasks_that_fit(amount, p.now.capacity) as usize;
-            *by_zone.entry(p.zone.clone()).or_insert(0) += fit;
+        for m in self.fleet.machines.values() {
+            let type_ix = m.type_ix.filter(|t| suits(*t, m.spot, &m.zone, m.role));
+            if type_ix.is_some() && self.is_open(m, now) {
+                let fit = tasks_that_fit(amount, m.capacity) as usize;
+                *by_zone.entry(m.zone.clone()).or_insert(0) += fit;
+            }
         }
         let tasks = spec.tasks as usize;
         let zone = if spec.one_zone {
@@ -341,7 +355,8 @@
         for p in places.iter_mut() {
             let room = p.now.capacity.minus(p.now.used);
             let here = zone.as_ref().is_none_or(|z| *z == p.zone);
-            p.kept = here && suits(p) && amount.fits(room);
+            let suits = suits(p.type_ix, p.spot, &p.zone, p.role);
+            p.kept = here && suits && amount.fits(room);
         }
         true
     }
