--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -90,7 +90,9 @@
     rents: VecDeque<(Rent, Role)>,
     deletes: Vec<MachineIx>,
     /// Names returned, which a late list may still show.
-    returned: HashSet<String>,
+    returned: HashSet<Rc<str>>,
+    /// The same, the first returned first.
+    returned_order: VecDeque<Rc<str>>,
     list_after: Option<String>,
     list_at: Time,
     types_at: Time,
@@ -150,8 +152,8 @@
 /// so many jobs at once.
 const OVERLOOKED: f64 = 0.5;
 const OVERLOOKED_MAX: usize = 8;
-/// Names kept of returned machines.
-const RETURNED_KEPT: usize = 4096;
+/// Names kept of returned machines: several times as many as a fleet has.
+const RETURNED_KEPT: usize = 16 * 1024;
 
 impl CloudBook {
     pub(crate) fn new(now: Time) -> Self {
@@ -161,6 +163,7 @@
             rents: VecDeque::new(),
             deletes: Vec::new(),
             returned: HashSet::new(),
+            returned_order: VecDeque::new(),
             list_after: None,
             list_at: now,
             types_at: now,
@@ -171,6 +174,19 @@
         }
     }
 
+    /// Notes that the cloud has confirmed a machine's return. The oldest are forgotten one by one: all
+    /// at once would let a late report bring one back that went a moment ago.
+    fn note_returned(&mut self, name: Rc<str>) {
+        if self.returned.insert(name.clone()) {
+            self.returned_order.push_back(name);
+        }
+        if self.returned_order.len() > RETURNED_KEPT
+            && let Some(oldest) = self.returned_order.pop_front()
+        {
+            self.returned.remove(&oldest);
+        }
+    }
+
     /// Whether the cloud has confirmed a machine's return.
     pub(crate) fn is_returned(&self, name: &str) -> bool {
         self.returned.contains(name)
@@ -1160,10 +1176,7 @@
                         self.cloud.deletes.retain(|d| *d != ix);
                         self.machine_gone(ix, now);
                     }
-                    if self.cloud.returned.len() >= RETURNED_KEPT {
-                        self.cloud.returned.clear();
-                    }
-                    self.cloud.returned.insert(name);
+                    self.cloud.note_returned(name.into());
                 }
             }
             _ => {}
--- a/src/config.rs
+++ b/src/config.rs
@@ -543,6 +543,32 @@
         }
     }
 
+    #[test]
+    fn settings_of_other_shapes_are_taken() {
+        let end = |from: &str| SAMPLE.find(from).unwrap();
+        let teams = end("[[deployment.teams]]")..end("[[deployment.objectives]]");
+        let objectives = end("[[deployment.objectives]]")..end("[deployment.workers]");
+        let peer = end("[[known]]")..end("[services]");
+        for cut in [teams, objectives, peer] {
+            let mut text = SAMPLE.to_owned();
+            text.replace_range(cut, "");
+            Config::parse(&text, "file").unwrap();
+        }
+        for (from, to) in [
+            ("count = 2", "count = 9"),
+            ("zones = [\"north\", \"south\"]", "zones = []"),
+            ("cpus = 20.0", "gpus_max = 1.5"),
+            ("write_rps = 20.0", "write_rps = 0.5"),
+            ("txn_ops = 16", "txn_ops = 1"),
+            ("max_sockets = 1000", "max_sockets = 16"),
+            ("max_sockets = 1000", "max_sockets = 100000"),
+            ("cores = 0.1", "cores = 4.0"),
+        ] {
+            assert!(SAMPLE.contains(from), "{from}");
+            Config::parse(&SAMPLE.replacen(from, to, 1), "file").unwrap();
+        }
+    }
+
     #[test]
     fn scripts_set_tunables_only_and_are_bounded() {
         let t = Tunables::from_script("return { rho = 0.1 * 3, weights = { high = 5 } }").unwrap();
--- a/src/http.rs
+++ b/src/http.rs
@@ -285,7 +285,7 @@
 /// that could not all stay connected.
 const CROWDED: f64 = 0.95;
 /// Connections being told to come back, as a part of those served.
-const TURNED_AWAY: f64 = 1.0 / 32.0;
+const TURNED_AWAY: f64 = 1.0 / 128.0;
 
 impl ServerLimits {
     /// The connections that may be served when there are so many sockets in all for clients.
--- a/src/scenarios.rs
+++ b/src/scenarios.rs
@@ -1256,3 +1256,57 @@
         }
     }
 }
+
+/// Where the state service takes one small write a second, all goes on, only later.
+#[test]
+fn the_smallest_limits_of_the_state_service_stop_nothing() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 30));
+    store.submit(&gang("j-2", 2));
+    let mut lead = store.elect("n0", 0.0);
+    let mut config = crate::config::tests::sample();
+    config.deployment.state.write_rps = 1.0;
+    config.deployment.state.txn_ops = 1;
+    config.deployment.state.value_kb = 1.0;
+    lead.config = Rc::new(config);
+    let mut ws: Vec<FakeWorker> = (0..3)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let mut now = 0.0;
+    while store.end("j-1").is_none() || store.end("j-2").is_none() {
+        now += 3.0;
+        assert!(now < 300.0);
+        for w in &mut ws {
+            for task in w.running() {
+                w.end(&task, Why::Done);
+            }
+            w.checkin(&mut lead, now);
+        }
+        lead.plan(now);
+        while let Some(txn) = lead.next_txn(now) {
+            assert_eq!(txn.changes.len(), 1);
+            let outcome = store.apply(&txn);
+            lead.txn_done(outcome, now);
+        }
+    }
+}
+
+/// After thousands of returns all of them were forgotten at once, and a late report of one that had
+/// just gone brought it back.
+#[test]
+fn machines_returned_last_are_remembered_however_many_were() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    for i in 0..17_000 {
+        let names = vec![format!("i-{i}")];
+        lead.on_cloud(CloudCall::Delete(names), CloudAnswer::Deleted, 1.0);
+    }
+    for name in ["i-16999", "i-12000", "i-1000"] {
+        let mut ghost = FakeWorker::new(name, "small", "north");
+        assert!(
+            lead.on_report(&ghost.next(), Source::Checkin, 2.0)
+                .is_none()
+        );
+    }
+    assert!(lead.fleet.machines.is_empty());
+}
