--- a/src/node.rs
+++ b/src/node.rs
@@ -1379,6 +1379,20 @@
         (addr, scope)
     }
 
+    /// 0.6 of the sockets were once for workers and users: not enough for a far larger fleet.
+    #[test]
+    fn sockets_reach_for_all_workers_and_for_what_the_node_opens_itself() {
+        for (sockets, workers) in [(2068, 1934), (3674, 3133), (1200, 600), (16, 7)] {
+            let mut config = crate::config::tests::sample();
+            config.peers = vec![config.peers[0].clone(); 4];
+            config.deployment.limits.max_sockets = sockets;
+            let front = front_sockets(&config);
+            assert!(ServerLimits::connections_within(front) >= workers);
+            let own = USER_WRITES_MAX + directs_max(&config) + 4 * (cluster::LINKS_PER_PEER + 1);
+            assert!(sockets < 100 || front + own + SPARE_SOCKETS <= sockets);
+        }
+    }
+
     /// All workers of a large fleet in one greeting were more than a frame may hold: the links broke
     /// at each.
     #[test]
