--- a/src/http.rs
+++ b/src/http.rs
@@ -286,6 +286,10 @@
 const CROWDED: f64 = 0.95;
 /// Connections being told to come back, as a part of those served.
 const TURNED_AWAY: f64 = 1.0 / 128.0;
+/// When they may come back.
+const FULL_RETRY_S: u32 = 2;
+/// Longest time for an answer that should take none.
+const BRIEF_S: f64 = 0.01;
 
 impl ServerLimits {
     /// The connections that may be served when there are so many sockets in all for clients.
@@ -394,7 +398,8 @@
         next_rest: Cell::new(0),
         resting: RefCell::default(),
     });
-    // Some more are answered "later" at once; beyond that connections are just closed.
+    // All others are told to come back at once. For some there is time to read what they send first,
+    // or closing might reset the connection before they see the answer.
     let turned_away = Scope::new(&rt);
     loop {
         match listener.accept().await {
@@ -409,7 +414,11 @@
             Ok(stream) if turned_away.live() < limits.turned_away() => {
                 turned_away.spawn(turn_away(rt.clone(), stream));
             }
-            Ok(_) => {}
+            Ok(mut stream) => {
+                // An empty socket takes so little at once.
+                let answer = full().encode(true);
+                let _ = rt.timeout(BRIEF_S, stream.write_all(&answer)).await;
+            }
             Err(e) => {
                 tracing::warn!("accept: {e}");
                 rt.sleep(0.1).await;
@@ -419,12 +428,11 @@
 }
 
 async fn turn_away(rt: Rt, mut stream: Stream) {
-    refuse(
-        &rt,
-        &mut stream,
-        Response::later(503, "too many connections", 2),
-    )
-    .await;
+    refuse(&rt, &mut stream, full()).await;
+}
+
+fn full() -> Response {
+    Response::later(503, "too many connections", FULL_RETRY_S)
 }
 
 async fn refuse(rt: &Rt, stream: &mut Stream, answer: Response) {
