--- a/src/rt.rs
+++ b/src/rt.rs
@@ -62,6 +62,18 @@
     pub length_s: f64,
 }
 
+impl Pause {
+    /// A pause shows as a turn of the loop that took far longer than the wait that was asked for.
+    fn between(before: Time, now: Time, wait: Option<Duration>) -> Option<Pause> {
+        let length_s = now - before;
+        let still = wait.is_some_and(|wait| length_s > wait.as_secs_f64() + STILL_S);
+        still.then_some(Pause {
+            until: now,
+            length_s,
+        })
+    }
+}
+
 /// The loop stood still if it came back so much later than asked for, without an event.
 const STILL_S: f64 = 0.7;
 
@@ -114,15 +126,10 @@
         self.0.over.set(true);
     }
 
-    /// A pause of this process shows as a turn that took far longer than the wait that was asked for.
     fn note_gap(&self, before: Time, wait: Option<Duration>) {
-        let now = self.now();
-        if wait.is_some_and(|wait| now - before > wait.as_secs_f64() + STILL_S) {
-            tracing::info!("stood still for {:.1} s", now - before);
-            self.0.pause.set(Pause {
-                until: now,
-                length_s: now - before,
-            });
+        if let Some(pause) = Pause::between(before, self.now(), wait) {
+            tracing::info!("stood still for {:.1} s", pause.length_s);
+            self.0.pause.set(pause);
         }
     }
 
@@ -563,6 +570,16 @@
         }
     }
 
+    #[test]
+    fn a_turn_far_longer_than_the_wait_is_a_pause_and_a_long_wait_is_none() {
+        let wait = |s| Some(Duration::from_secs_f64(s));
+        assert_eq!(Pause::between(10.0, 15.2, wait(5.0)), None);
+        assert_eq!(Pause::between(10.0, 50.0, None), None);
+        let pause = Pause::between(10.0, 15.2, wait(0.2)).unwrap();
+        assert_eq!(pause.until, 15.2);
+        assert!((pause.length_s - 5.2).abs() < 1e-9);
+    }
+
     #[test]
     fn a_scope_that_ends_takes_its_routines_and_theirs_along() {
         let ended: Rc<Log> = Rc::default();
