--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -22,6 +22,8 @@
     job_tasks: Mean,
     /// Run time of a task as its owner expects it.
     estimate_s: Mean,
+    /// When a job should be done, for those that have a deadline of their own.
+    deadline_s: Mean,
     /// Run time to reckon with.
     run_s: f64,
     shares: [Mean; 3],
@@ -134,6 +136,8 @@
 const TIGHT_BOOTS: f64 = 1.5;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
 const BACKLOG_SHARE: f64 = 0.5;
+/// A deadline shorter than a job's run time still leaves so much of that for waiting.
+const DEADLINE_SLACK_MIN: f64 = 0.2;
 /// A queue of this part of that time is no backlog.
 const QUEUE_SHARE: f64 = 0.25;
 /// Machines that are there already are kept if they shorten a backlog within this part of it.
@@ -236,6 +240,7 @@
                 amount: a,
                 job_tasks: Mean::default(),
                 estimate_s: Mean::default(),
+                deadline_s: Mean::default(),
                 run_s: spec.estimate_s,
                 shares: [Mean::default(); 3],
                 pending: 0.0,
@@ -246,6 +251,9 @@
         self.cloud.sized_at = f64::NEG_INFINITY;
         class.job_tasks.add(f64::from(spec.tasks), JOBS_KEPT);
         class.estimate_s.add(spec.estimate_s, JOBS_KEPT);
+        if let Some(deadline_s) = spec.deadline_s {
+            class.deadline_s.add(deadline_s, JOBS_KEPT);
+        }
         let mut mean = |at: usize, value: f64| {
             class.shares[at].add(value, JOBS_KEPT);
             class.shares[at].get().unwrap_or(value)
@@ -413,14 +421,22 @@
             .fold(f64::INFINITY, f64::min)
     }
 
-    /// Within what time jobs of a class should be done.
-    fn tightest_finish(&self, spec: &Submission) -> Option<f64> {
-        self.config
-            .deployment
-            .objectives
+    /// Within what time jobs of a class should be done. A deadline grows with the run time: only
+    /// what it leaves beyond that is for waiting.
+    fn tightest_finish(&self, class: &Class) -> Option<f64> {
+        let run_s = class.run_s();
+        let mut usual = (*class.spec).clone();
+        usual.deadline_s = class.deadline_s.get().or(usual.deadline_s);
+        let objectives = &self.config.deployment.objectives;
+        objectives
             .iter()
-            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(&spec.class))
-            .filter_map(|o| o.within_s)
+            .filter_map(|o| {
+                let within = o.done_within(&usual)?;
+                Some(match o.kind.as_str() {
+                    "deadline" => (within - run_s).max(run_s * DEADLINE_SLACK_MIN),
+                    _ => within,
+                })
+            })
             .min_by(f64::total_cmp)
     }
 
@@ -690,7 +706,7 @@
             .map(|(t, _)| self.types[*t].boot_s)
             .fold(f64::INFINITY, f64::min);
         let wait = self.tightest_wait(spec);
-        let finish = self.tightest_finish(spec);
+        let finish = self.tightest_finish(class);
         let run_s = class.run_s();
         let needed = class.bound + class.pending;
         let name = class_name(spec);
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 
+use crate::wire::Submission;
+
 /// Why settings can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -70,6 +72,24 @@
     pub within_s: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
+    /// Of kind `deadline`: within so many times a job's own deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+impl Objective {
+    /// Within what time of its submission a job of its class should be done, if that is what it
+    /// asks for.
+    pub fn done_within(&self, job: &Submission) -> Option<f64> {
+        if self.class.as_deref() != Some(&job.class) {
+            return None;
+        }
+        match self.kind.as_str() {
+            "finished" => self.within_s,
+            "deadline" => Some(job.deadline_s? * self.times.unwrap_or(1.0)),
+            _ => None,
+        }
+    }
 }
 
 /// The workers' times.
@@ -382,7 +402,11 @@
             }
         }
         for o in &d.objectives {
-            for (name, value) in [("within_s", o.within_s), ("share", o.share)] {
+            for (name, value) in [
+                ("within_s", o.within_s),
+                ("share", o.share),
+                ("times", o.times),
+            ] {
                 if value.is_some_and(|v| !(v.is_finite() && v >= 0.0)) {
                     return Err(wrong(
                         format!("deployment.objectives.{name}"),
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -166,16 +166,21 @@
         let mut next = f64::INFINITY;
         let mut longest: f64 = 0.0;
         for o in &self.config.deployment.objectives {
-            let Some(within) = o.within_s else { continue };
             let own = o.class.as_deref() == Some(&job.spec.class);
-            let latest = match o.kind.as_str() {
-                "wait" if own => within,
-                "guarantee" if guaranteed => within,
-                "finished" if own => within - run_s,
-                _ => continue,
+            let (within, takes_s) = match (o.kind.as_str(), o.within_s) {
+                ("wait", Some(within)) if own => (within, 0.0),
+                ("guarantee", Some(within)) if guaranteed => (within, 0.0),
+                (kind, _) => match o.done_within(&job.spec) {
+                    // A deadline comes from its owner's estimate, which tells of this job.
+                    Some(within) if kind == "deadline" => {
+                        (within, (run_s * job.spec.estimate_s.max(0.0)).sqrt())
+                    }
+                    Some(within) => (within, run_s),
+                    None => continue,
+                },
             };
             longest = longest.max(within);
-            let at = job.since + latest;
+            let at = job.since + within - takes_s;
             if at > now {
                 next = next.min(at);
             }
