--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -21,6 +21,9 @@
 /// Earlier, the small gangs that wait meanwhile cost more than the large one gains.
 const GATHER: std::ops::Range<f64> = 0.75..1.5;
 const GATHER_AGAIN: f64 = 1.75;
+/// Holes are kept for tasks that take at most this part of a machine: others would leave too much
+/// of it unused for too long.
+const HOLE_SHARE_MAX: f64 = 0.125;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
 
@@ -89,6 +92,9 @@
                 self.place_array(ix, &mut places, now)
             };
             if !found {
+                if !self.jobs[&ix].is_gang() {
+                    self.hold_holes(ix, &mut places);
+                }
                 if !keeping && self.gathers(&self.jobs[&ix], now) {
                     keeping = self.keep_room(ix, &mut places, now);
                 }
@@ -315,6 +321,32 @@
         false
     }
 
+    /// Keeps what is free on some machines, and too little for a task that waits, from all that comes
+    /// later in this pass: as many as there are such tasks. Small tasks once took each hole that
+    /// came free on a full fleet, and urgent ones that take a little more waited for minutes.
+    fn hold_holes(&self, ix: JobIx, places: &mut [Place]) {
+        let job = &self.jobs[&ix];
+        let spec = &job.spec;
+        let amount = job.amount();
+        let mut left = job.pending();
+        for p in places.iter_mut() {
+            if left == 0 {
+                return;
+            }
+            let share = amount.largest_share(p.now.capacity);
+            if !p.kept
+                && share <= HOLE_SHARE_MAX
+                && type_allowed(spec, &self.types[p.type_ix])
+                && (spec.spot || !p.spot)
+                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
+                && p.role == Role::Shared
+            {
+                p.kept = true;
+                left -= 1;
+            }
+        }
+    }
+
     /// Whether a gang has waited so long that machines are gathered for it. Not for ever: one that
     /// can't be placed then lets others go first for a while.
     fn gathers(&self, job: &Job, now: Time) -> bool {
