--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 
 use crate::book::{JobIx, MachineIx, Task};
+use crate::images::{Cache, Images};
 use crate::lead::{Lead, job_task, split_task};
 use crate::pricing::Amount;
 use crate::rt::Time;
-use crate::wire::{Command, Kind, Report, TaskState, Why};
+use crate::wire::{Command, Kind, MachineType, Report, TaskState, Why};
 
 /// A task's attempt on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -148,8 +149,8 @@
     pub errors: u32,
     pub error_jobs: HashSet<JobIx>,
     pub cool_until: Time,
-    /// Images it was asked to fetch, the last ones.
-    pub images: Vec<Rc<str>>,
+    /// Images that it holds or fetches.
+    pub images: Images,
     /// A direct message to its worker is wanted.
     pub direct_wanted: bool,
     /// Launches wait that should not wait for its next report.
@@ -166,8 +167,6 @@
     kept: HashSet<(String, u64)>,
 }
 
-/// Images remembered of a machine.
-const IMAGES_KEPT: usize = 8;
 /// Part of the time in which a job is to start that its launch may wait for a report.
 const LAUNCH_WAIT_SHARE: f64 = 0.1;
 /// Report intervals after which a silent machine gets nothing new.
@@ -212,7 +211,7 @@
             errors: 0,
             error_jobs: HashSet::new(),
             cool_until: 0.0,
-            images: Vec::new(),
+            images: Images::default(),
             direct_wanted: false,
             launch_wanted: false,
             direct_tried: f64::NEG_INFINITY,
@@ -315,17 +314,13 @@
             self.release(amount);
         }
     }
+}
 
-    pub(crate) fn remember_image(&mut self, image: &str) {
-        if let Some(at) = self.images.iter().position(|i| &**i == image) {
-            let image = self.images.remove(at);
-            self.images.push(image);
-            return;
-        }
-        if self.images.len() >= IMAGES_KEPT {
-            self.images.remove(0);
-        }
-        self.images.push(image.into());
+/// What a machine of a type has for its images.
+pub(crate) fn cache_of(t: &MachineType) -> Cache {
+    Cache {
+        size_gb: t.cache_gb,
+        gb_per_s: t.fetch_gb_per_s,
     }
 }
 
@@ -590,7 +585,14 @@
         if state == TaskState::Running && slot.running_since.is_none() {
             slot.running_since = Some(now);
         }
-        slot.state = Some(state);
+        if slot.state.replace(state) != Some(state)
+            && let Some(type_ix) = m.type_ix
+        {
+            let spec = &self.jobs[&key.job].spec;
+            let here = state != TaskState::Fetching;
+            let cache = cache_of(&self.types[type_ix]);
+            m.images.see(&spec.image, spec.image_gb, here, cache, now);
+        }
         if (ended || !bound_here) && slot.stop.is_none() {
             slot.stop = Some(0.0);
             m.direct_wanted = true;
@@ -660,6 +662,9 @@
             self.maybe_settle(key.job);
             return;
         }
+        if matches!(slot.state, None | Some(TaskState::Fetching)) {
+            self.image_unwanted(ix, key.job);
+        }
         self.use_team(key.job, -1.0);
         if self.jobs[&key.job].is_gang() {
             self.judge_attempt(key.job);
@@ -677,6 +682,20 @@
         self.maybe_settle(key.job);
     }
 
+    /// A task came off a machine before it had its image: if no other there waits for it, the fetch
+    /// is given up.
+    fn image_unwanted(&mut self, ix: MachineIx, job: JobIx) {
+        let image = &self.jobs[&job].spec.image;
+        if let Some(m) = self.fleet.machines.get_mut(&ix)
+            && !m
+                .slots
+                .keys()
+                .any(|k| self.jobs[&k.job].spec.image == *image)
+        {
+            m.images.give_up(image);
+        }
+    }
+
     /// Adds the commands a worker is to have now.
     fn write_commands(&mut self, ix: MachineIx, source: Source, commands: &mut Vec<Command>) {
         let fits = |commands: &Vec<Command>| commands.len() < COMMANDS_MAX;
@@ -688,7 +707,6 @@
         let settled = m.token >= token && !m.leaving;
         let launches = settled && (source == Source::Checkin || m.launch_wanted);
         m.launch_wanted = false;
-        let mut images = Vec::new();
         for (key, slot) in &mut m.slots {
             if !fits(commands) {
                 break;
@@ -720,16 +738,12 @@
                 if source == Source::Direct {
                     slot.direct = Some(DirectLaunch::UnderWay);
                 }
-                images.push(job.spec.clone());
                 commands.push(Command::Start {
                     task: job_task(&job.id, key.task),
                     attempt: key.attempt,
                 });
             }
         }
-        for spec in images {
-            m.remember_image(&spec.image);
-        }
     }
 
     /// A worker that some controller saw lately is to be called on: that fences off a former
--- /dev/null
+++ b/src/images.rs
@@ -0,0 +1,125 @@
+//! Which images a machine holds or fetches, as far as a leader can tell: workers report of their
+//! tasks only.
+
+use std::rc::Rc;
+
+use crate::rt::Time;
+
+/// What a machine has for its images.
+#[derive(Debug, Clone, Copy)]
+pub struct Cache {
+    pub size_gb: f64,
+    /// What it fetches in a second, all images together.
+    pub gb_per_s: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    name: Rc<str>,
+    gb: f64,
+    /// A task of it was seen running.
+    here: bool,
+    /// When it should be there.
+    due: Time,
+}
+
+/// The images of a machine, the least recently used first.
+#[derive(Debug, Clone, Default)]
+pub struct Images {
+    held: Vec<Held>,
+}
+
+impl Images {
+    fn find(&self, name: &str) -> Option<usize> {
+        self.held.iter().position(|h| *h.name == *name)
+    }
+
+    /// How long until an image is there that was fetched or asked for. None: it wasn't.
+    pub fn rest_s(&self, name: &str, now: Time) -> Option<f64> {
+        let held = &self.held[self.find(name)?];
+        Some(if held.here {
+            0.0
+        } else {
+            (held.due - now).max(0.0)
+        })
+    }
+
+    /// For how long the machine is busy with what it was asked to fetch.
+    pub fn busy_s(&self, now: Time) -> f64 {
+        let due = self.held.iter().filter(|h| !h.here).map(|h| h.due);
+        due.fold(now, f64::max) - now
+    }
+
+    /// A task that needs an image was given to the machine.
+    pub fn ask(&mut self, name: &str, gb: f64, cache: Cache, now: Time) {
+        if let Some(at) = self.find(name) {
+            let held = self.held.remove(at);
+            self.held.push(held);
+            return;
+        }
+        self.held.push(Held {
+            name: name.into(),
+            gb,
+            here: false,
+            due: now + self.busy_s(now) + fetch_s(gb, cache),
+        });
+        let mut all: f64 = self.held.iter().map(|h| h.gb).sum();
+        while all > cache.size_gb && self.held.len() > 1 {
+            all -= self.held.remove(0).gb;
+        }
+    }
+
+    /// A task that needs an image was seen there: with its image, or waiting for it.
+    pub fn see(&mut self, name: &str, gb: f64, here: bool, cache: Cache, now: Time) {
+        self.ask(name, gb, cache, now);
+        if here && let Some(held) = self.held.last_mut() {
+            held.here = true;
+        }
+    }
+
+    /// No task waits for an image any more: a fetch under way is given up.
+    pub fn give_up(&mut self, name: &str) {
+        self.held.retain(|h| h.here || *h.name != *name);
+    }
+}
+
+/// How long a machine with nothing else to fetch takes for an image.
+pub fn fetch_s(gb: f64, cache: Cache) -> f64 {
+    if cache.gb_per_s > 0.0 {
+        gb / cache.gb_per_s
+    } else {
+        0.0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CACHE: Cache = Cache {
+        size_gb: 5.0,
+        gb_per_s: 0.5,
+    };
+
+    #[test]
+    fn fetches_queue_up_and_the_least_recently_used_go() {
+        let mut images = Images::default();
+        images.ask("a", 2.0, CACHE, 0.0);
+        images.ask("b", 1.0, CACHE, 0.0);
+        assert_eq!(images.rest_s("a", 1.0), Some(3.0));
+        assert_eq!(images.rest_s("b", 1.0), Some(5.0));
+        assert_eq!(images.busy_s(1.0), 5.0);
+        images.see("a", 2.0, true, CACHE, 3.0);
+        assert_eq!(images.rest_s("a", 3.0), Some(0.0));
+        // The task that waited for it is gone, and with it the fetch; what is there stays.
+        images.give_up("b");
+        images.give_up("a");
+        assert_eq!(images.rest_s("b", 3.0), None);
+        assert_eq!(images.busy_s(3.0), 0.0);
+        images.see("c", 2.0, true, CACHE, 4.0);
+        images.ask("a", 2.0, CACHE, 5.0);
+        images.ask("d", 2.0, CACHE, 5.0);
+        assert_eq!(images.rest_s("c", 5.0), None);
+        assert_eq!(images.rest_s("a", 5.0), Some(0.0));
+    }
+}
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -11,7 +11,7 @@
 use crate::book::{Job, JobIx, MachineIx, amount};
 use crate::config::Config;
 use crate::expect::Expected;
-use crate::fleet::{Fleet, Slot, SlotKey};
+use crate::fleet::{Fleet, Slot, SlotKey, cache_of};
 use crate::pricing::{Amount, Rule};
 use crate::rt::{Pause, Time};
 use crate::runlog::{RunLog, Told, Writer};
@@ -554,8 +554,13 @@
             task,
             attempt,
         };
+        let spec = job.spec.clone();
         if let Some(m) = self.fleet.machines.get_mut(&machine) {
             m.add_slot(key, slot);
+            if let Some(type_ix) = m.type_ix {
+                let cache = cache_of(&self.types[type_ix]);
+                m.images.ask(&spec.image, spec.image_gb, cache, now);
+            }
         }
         self.slot_added(ix);
         self.mark_dirty(ix, task, true, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod expect;
 pub mod fleet;
 pub mod http;
+pub mod images;
 pub mod lead;
 pub mod node;
 pub mod picker;
--- a/src/picker.rs
+++ b/src/picker.rs
@@ -10,8 +10,8 @@
 /// Which machines come before which, whatever their prices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Tier {
-    /// The task's image is to be fetched, where that matters.
-    pub far: bool,
+    /// How far the task's image is, where that matters: 0 is near enough.
+    pub far: u8,
     /// Meant for other work.
     pub borrowed: bool,
 }
@@ -25,6 +25,8 @@
     /// The rule's order: the least comes first.
     key: f64,
     at: usize,
+    /// How far the image is once the machine was asked for it.
+    asked: u8,
     now: Candidate,
 }
 
@@ -57,6 +59,7 @@
     weight: f64,
     /// By tier and by what a CPU costs there.
     offers: BTreeMap<(Tier, u64), BinaryHeap<Offer>>,
+    partial: bool,
 }
 
 impl Picker {
@@ -67,13 +70,30 @@
             demand,
             weight,
             offers: BTreeMap::new(),
+            partial: false,
         }
     }
 
-    /// Offers a machine; what a CPU costs there is positive.
-    pub fn offer(&mut self, at: usize, tier: Tier, cost: f64, now: Candidate) {
+    /// A machine with room is not offered for now.
+    pub fn leave_out(&mut self) {
+        self.partial = true;
+    }
+
+    /// Whether machines with room were left out.
+    pub fn is_partial(&self) -> bool {
+        self.partial
+    }
+
+    /// Offers a machine; what a CPU costs there is positive. `asked` is how far the image is for
+    /// further tasks, once the first has asked for it.
+    pub fn offer(&mut self, at: usize, tier: Tier, asked: u8, cost: f64, now: Candidate) {
         if let Some(key) = self.rule.key(self.demand, self.weight, &now) {
-            let offer = Offer { key, at, now };
+            let offer = Offer {
+                key,
+                at,
+                asked,
+                now,
+            };
             // Positive numbers are in the order of their bits.
             let place = (tier, cost.max(0.0).to_bits());
             self.offers.entry(place).or_default().push(offer);
@@ -100,7 +120,9 @@
         let offer = self.offers.get_mut(&place)?.pop()?;
         let now = self.rule.placed(self.demand, &offer.now);
         let (tier, cost) = place;
-        self.offer(offer.at, tier, f64::from_bits(cost), now);
+        let far = offer.asked;
+        let tier = Tier { far, ..tier };
+        self.offer(offer.at, tier, far, f64::from_bits(cost), now);
         Some((offer.at, now))
     }
 }
@@ -113,6 +135,7 @@
 
     struct Plain {
         tier: Tier,
+        asked: u8,
         cost: f64,
         now: Candidate,
     }
@@ -146,9 +169,11 @@
                         memory_gb: cpus * 4.0,
                     };
                     let used = capacity.times(f64::from(rng.random_range(0..5)) / 4.0);
+                    let far = rng.random_range(0..4);
                     Plain {
+                        asked: rng.random_range(0..=far),
                         tier: Tier {
-                            far: rng.random_range(0..2) == 0,
+                            far,
                             borrowed: rng.random_range(0..3) == 0,
                         },
                         cost: [0.01, 0.012, 0.05][rng.random_range(0..3)],
@@ -168,7 +193,7 @@
             };
             let mut picker = Picker::new(rule, demand, 2.0);
             for (at, p) in all.iter().enumerate() {
-                picker.offer(at, p.tier, p.cost, p.now);
+                picker.offer(at, p.tier, p.asked, p.cost, p.now);
             }
             let mut placed = 0;
             loop {
@@ -177,6 +202,7 @@
                 assert_eq!(picked.map(|(at, _)| at), expected, "round {round}");
                 let Some((at, now)) = picked else { break };
                 all[at].now = now;
+                all[at].tier.far = all[at].asked;
                 placed += 1;
             }
             assert!(placed > 0);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,7 +6,8 @@
 
 use crate::autoscale::tasks_that_fit;
 use crate::book::{Job, JobIx, MachineIx, amount, rank};
-use crate::fleet::{Machine, Role};
+use crate::fleet::{Machine, Role, cache_of};
+use crate::images::fetch_s;
 use crate::lead::{Lead, type_allowed};
 use crate::picker::{Picker, Tier};
 use crate::pricing::{Amount, Candidate};
@@ -24,6 +25,15 @@
 /// Holes are kept for tasks that take at most this part of a machine: others would leave too much
 /// of it unused for too long.
 const HOLE_SHARE_MAX: f64 = 0.125;
+/// An image is near if it is there within this part of a task's run time, or of the time in which
+/// it is to start.
+const NEAR_SHARE: f64 = 0.1;
+/// A machine is asked for an image if that takes at most so many times as long as fetching it alone,
+/// and this part of what the job has waited already.
+const FETCH_QUEUE: f64 = 1.5;
+const FETCH_PATIENCE: f64 = 0.2;
+/// An image to be fetched counts as so many times as far.
+const FETCH_WEIGHT: f64 = 2.0;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
 
@@ -47,6 +57,19 @@
 struct NoRoom {
     spec: Rc<Submission>,
     tasks: u32,
+    /// There was room, but far from its image: this tells only of work with the same image.
+    far: bool,
+}
+
+/// How the placement of a job went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placed {
+    /// All that may run now has its place.
+    All,
+    /// There was no room for more.
+    Full,
+    /// What room there was is too far from the image.
+    Far,
 }
 
 impl NoRoom {
@@ -54,6 +77,7 @@
     fn tells(&self, spec: &Submission, tasks: u32) -> bool {
         let a = &self.spec;
         tasks >= self.tasks
+            && (!self.far || a.image == spec.image)
             && amount(a).fits(amount(spec))
             && (a.priority, a.spot, a.one_zone, a.spread, &a.zone, &a.types)
                 == (
@@ -86,19 +110,20 @@
             if no_room.iter().any(|n| n.tells(&spec, tasks)) {
                 continue;
             }
-            let found = if self.jobs[&ix].is_gang() {
+            let placed = if self.jobs[&ix].is_gang() {
                 self.place_gang(ix, &mut places, now)
             } else {
                 self.place_array(ix, &mut places, now)
             };
-            if !found {
+            if placed != Placed::All {
                 if !self.jobs[&ix].is_gang() {
                     self.hold_holes(ix, &mut places);
                 }
                 if !keeping && self.gathers(&self.jobs[&ix], now) {
                     keeping = self.keep_room(ix, &mut places, now);
                 }
-                no_room.push(NoRoom { spec, tasks });
+                let far = placed == Placed::Far;
+                no_room.push(NoRoom { spec, tasks, far });
             }
             if self.jobs[&ix].pending() == 0 {
                 self.active.remove(&ix);
@@ -247,44 +272,48 @@
         order.into_iter().map(|(.., ix)| ix).collect()
     }
 
-    /// Places what it can of an array's tasks; false if machines had no room for more of them.
-    fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> bool {
+    /// Places what it can of an array's tasks; whether machines had room for them.
+    fn place_array(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> Placed {
         let job = &self.jobs[&ix];
         let spec = job.spec.clone();
         let amount = job.amount();
         let team = job.team;
         let mut zones = Zones::new(&spec, self.zones_taken(ix));
-        let mut picker = self.picker(ix, places, |_| true);
+        let mut picker = self.picker(ix, places, now, |_| true);
         let attempt = self.fresh_attempt();
         while self.jobs[&ix].pending() > 0 {
             if !self.team_allows(team, amount) {
-                return true;
+                return Placed::All;
             }
             let Some((at, after)) = picker.pick(|at| zones.allow(&places[at].zone)) else {
-                return false;
+                return if picker.is_partial() {
+                    Placed::Far
+                } else {
+                    Placed::Full
+                };
             };
             let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
-                return true;
+                return Placed::All;
             };
             let place = &mut places[at];
             place.now = after;
             zones.add(&place.zone);
             self.bind_at(ix, task, place, attempt, now);
         }
-        true
+        Placed::All
     }
 
-    /// All tasks of a gang are placed, or none; false if machines had no room for all.
-    fn place_gang(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> bool {
+    /// All tasks of a gang are placed, or none; whether machines had room for all.
+    fn place_gang(&mut self, ix: JobIx, places: &mut [Place], now: Time) -> Placed {
         let job = &self.jobs[&ix];
         // Tasks of the former attempt keep their machines and zones until they are off.
         if job.bound > 0 || job.slots > 0 {
-            return true;
+            return Placed::All;
         }
         let spec = job.spec.clone();
         let amount = job.amount();
         if !self.team_allows(job.team, amount.times(f64::from(spec.tasks))) {
-            return true;
+            return Placed::All;
         }
         let mut only: Vec<Option<Rc<str>>> = vec![None];
         if spec.one_zone {
@@ -296,7 +325,7 @@
         for zone in only {
             let mut zones = Zones::new(&spec, HashMap::new());
             let here = |p: &Place| zone.as_ref().is_none_or(|z| *z == p.zone);
-            let mut picker = self.picker(ix, places, here);
+            let mut picker = self.picker(ix, places, now, here);
             let mut chosen = Vec::new();
             while chosen.len() < spec.tasks as usize {
                 let Some(picked) = picker.pick(|at| zones.allow(&places[at].zone)) else {
@@ -311,14 +340,14 @@
             let attempt = self.fresh_attempt();
             for (at, after) in chosen {
                 let Some(task) = self.jobs.get_mut(&ix).and_then(Job::take_pending) else {
-                    return true;
+                    return Placed::All;
                 };
                 places[at].now = after;
                 self.bind_at(ix, task, &places[at], attempt, now);
             }
-            return true;
+            return Placed::All;
         }
-        false
+        Placed::Full
     }
 
     /// Keeps what is free on some machines, and too little for a task that waits, from all that comes
@@ -408,7 +437,13 @@
     /// The allowed machines of a job, for the pricing rule to choose among. Cheap ones with room
     /// come first, so that dear ones come free and can be returned; borrowed ones come last, as
     /// what runs there may have to make way.
-    fn picker(&self, ix: JobIx, places: &[Place], here: impl Fn(&Place) -> bool) -> Picker {
+    fn picker(
+        &self,
+        ix: JobIx,
+        places: &[Place],
+        now: Time,
+        here: impl Fn(&Place) -> bool,
+    ) -> Picker {
         let job = &self.jobs[&ix];
         let spec = &job.spec;
         let amount = job.amount();
@@ -435,25 +470,51 @@
         let healthy = |p: &Place| !job.failed_on.contains(&p.ix);
         let any_healthy =
             job.failed_on.is_empty() || places.iter().any(|p| allowed(p) && healthy(p));
+        let patience = Patience {
+            gang: job.is_gang(),
+            near_s: self.run_s(job).min(self.tightest_wait(spec)) * NEAR_SHARE,
+            waited_s: now - job.since,
+        };
         let mut picker = Picker::new(self.rule, amount, weight);
         for (at, p) in places.iter().enumerate() {
             let room = p.now.capacity.minus(p.now.used);
             if !amount.fits(room) || !allowed(p) || (any_healthy && !healthy(p)) {
                 continue;
             }
-            let tier = Tier {
-                // Fetching the image may take longer than a gang should wait.
-                far: job.is_gang() && !self.has_image(p.ix, spec),
-                borrowed: p.role != Role::Shared && !types[p.type_ix].large,
+            let Some((far, asked)) = self.distance(p, spec, patience, now) else {
+                picker.leave_out();
+                continue;
             };
-            picker.offer(at, tier, p.cost, p.now);
+            let borrowed = p.role != Role::Shared && !types[p.type_ix].large;
+            picker.offer(at, Tier { far, borrowed }, asked, p.cost, p.now);
         }
         picker
     }
 
-    fn has_image(&self, ix: MachineIx, spec: &Submission) -> bool {
-        let machine = self.fleet.machines.get(&ix);
-        machine.is_some_and(|m| m.images.iter().any(|i| **i == *spec.image))
+    /// How far a job's image is from a machine, now and once it was asked for. None if the machine
+    /// is so busy with other images that others will have it sooner.
+    fn distance(&self, p: &Place, spec: &Submission, by: Patience, now: Time) -> Option<(u8, u8)> {
+        let Some(m) = self.fleet.machines.get(&p.ix) else {
+            return Some((0, 0));
+        };
+        let rest_s = m.images.rest_s(&spec.image, now);
+        if by.gang {
+            // Fetching the image may take longer than a gang should wait.
+            let far = u8::from(rest_s.is_none());
+            return Some((far, far));
+        }
+        let own_s = fetch_s(spec.image_gb, cache_of(&self.types[p.type_ix]));
+        let there_s = rest_s.unwrap_or_else(|| m.images.busy_s(now) + own_s);
+        if there_s > own_s * FETCH_QUEUE + by.waited_s * FETCH_PATIENCE {
+            return None;
+        }
+        let steps = |s: f64| (s / by.near_s).max(1.0).log2().ceil().min(f64::from(u8::MAX)) as u8;
+        let asked = steps(there_s);
+        Some(match rest_s {
+            Some(_) => (asked, asked),
+            // What is fetched holds up what else the machine fetches, and takes room there.
+            None => (steps(there_s * FETCH_WEIGHT), asked),
+        })
     }
 
     /// In which zones tasks of a job are or may be, those of former attempts included.
@@ -477,6 +538,15 @@
     }
 }
 
+/// What waiting for an image means to a job.
+#[derive(Clone, Copy)]
+struct Patience {
+    gang: bool,
+    /// A wait that hardly matters.
+    near_s: f64,
+    waited_s: f64,
+}
+
 /// What a machine type is to a job.
 #[derive(Clone, Copy)]
 struct TypeFor {
