--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -10,7 +10,9 @@
 use crate::pricing::Amount;
 use crate::rt::Time;
 use crate::scheduler::BEGIN_S;
-use crate::wire::{ListedMachine, MachineState, MachineType, Priority, Rent, Submission};
+use crate::wire::{
+    ListedMachine, MachineState, MachineType, Priority, Rent, Submission, TaskState,
+};
 
 /// A sort of work: jobs of one class that may use the same machines.
 #[derive(Debug, Clone)]
@@ -629,6 +631,15 @@
 
     /// How much of which kind is there and used.
     fn log_fleet(&self) {
+        let slots = || self.fleet.machines.values().flat_map(|m| m.slots.values());
+        let in_state = |state| slots().filter(|s| !s.over && s.state == state).count();
+        tracing::debug!(
+            "{} attempts not seen yet, {} fetch, {} run, {} completed",
+            in_state(None),
+            in_state(Some(TaskState::Fetching)),
+            in_state(Some(TaskState::Running)),
+            slots().filter(|s| s.over).count()
+        );
         let mut kinds: BTreeMap<(usize, bool), [f64; 4]> = BTreeMap::new();
         for m in self.fleet.machines.values() {
             let Some(type_ix) = m.type_ix else { continue };
