--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -290,6 +290,7 @@
         let interval = (report_s * SIZING_REPORTS).min(SIZING_S_MAX);
         if now - self.cloud.sized_at >= interval {
             self.cloud.sized_at = now;
+            self.count_images(now);
             self.size(now);
         }
     }
--- a/src/images.rs
+++ b/src/images.rs
@@ -44,6 +44,11 @@
         })
     }
 
+    /// The images that are there or were asked for.
+    pub fn names(&self) -> impl Iterator<Item = &Rc<str>> {
+        self.held.iter().map(|h| &h.name)
+    }
+
     /// For how long the machine is busy with what it was asked to fetch.
     pub fn busy_s(&self, now: Time) -> f64 {
         let due = self.held.iter().filter(|h| !h.here).map(|h| h.due);
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -109,6 +109,8 @@
     pub last_report: Time,
     /// The last time this node stood still.
     pause: Pause,
+    /// The part of the open machines that has or fetches each image.
+    pub(crate) image_spread: HashMap<Rc<str>, f64>,
     /// When a machine of each zone was last heard.
     pub(crate) zone_heard: HashMap<Rc<str>, Time>,
 }
@@ -179,6 +181,7 @@
             write_refill: now,
             last_report: now,
             pause: Pause::default(),
+            image_spread: HashMap::new(),
             zone_heard: HashMap::new(),
             config,
         };
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -174,6 +174,32 @@
         places
     }
 
+    /// Counts which part of the machines has or fetches each image.
+    pub(crate) fn count_images(&mut self, now: Time) {
+        let mut spread: HashMap<Rc<str>, f64> = HashMap::new();
+        let open = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| self.is_open(m, now));
+        let mut all: f64 = 0.0;
+        for m in open {
+            all += 1.0;
+            for image in m.images.names() {
+                match spread.get_mut(image) {
+                    Some(n) => *n += 1.0,
+                    None => {
+                        spread.insert(image.clone(), 1.0);
+                    }
+                }
+            }
+        }
+        for n in spread.values_mut() {
+            *n /= all.max(1.0);
+        }
+        self.image_spread = spread;
+    }
+
     /// Whether a machine may be given work: it has shown our token and nothing speaks against it.
     pub(crate) fn is_open(&self, m: &Machine, now: Time) -> bool {
         !self.is_quiet(m, now)
@@ -474,6 +500,7 @@
             gang: job.is_gang(),
             near_s: self.run_s(job).min(self.tightest_wait(spec)) * NEAR_SHARE,
             waited_s: now - job.since,
+            spread: self.image_spread.get(&*spec.image).copied().unwrap_or(0.0),
         };
         let mut picker = Picker::new(self.rule, amount, weight);
         for (at, p) in places.iter().enumerate() {
@@ -505,10 +532,18 @@
         }
         let own_s = fetch_s(spec.image_gb, cache_of(&self.types[p.type_ix]));
         let there_s = rest_s.unwrap_or_else(|| m.images.busy_s(now) + own_s);
-        if there_s > own_s * FETCH_QUEUE + by.waited_s * FETCH_PATIENCE {
+        if there_s > own_s * FETCH_QUEUE + by.waited_s * FETCH_PATIENCE
+            || (rest_s.is_none() && by.waited_s < own_s * by.spread)
+        {
             return None;
         }
-        let steps = |s: f64| (s / by.near_s).max(1.0).log2().ceil().min(f64::from(u8::MAX)) as u8;
+        let steps = |s: f64| {
+            (s / by.near_s)
+                .max(1.0)
+                .log2()
+                .ceil()
+                .min(f64::from(u8::MAX)) as u8
+        };
         let asked = steps(there_s);
         Some(match rest_s {
             Some(_) => (asked, asked),
@@ -545,6 +580,8 @@
     /// A wait that hardly matters.
     near_s: f64,
     waited_s: f64,
+    /// The part of the machines that have the image: the more, the sooner one of them has room.
+    spread: f64,
 }
 
 /// What a machine type is to a job.
