--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -136,6 +136,9 @@
 const CHARGED_S: f64 = 60.0;
 /// Waits shorter than this many boot times can only be kept with machines that are up already.
 const TIGHT_BOOTS: f64 = 1.5;
+/// Machines in use are as good as ready ones if what a usual job takes comes free on them within this
+/// part of the time in which it is to start.
+const TURNOVER_SHARE: f64 = 0.125;
 /// A backlog is to be worked off within this part of the time that its jobs may take.
 const BACKLOG_SHARE: f64 = 0.5;
 /// A deadline shorter than a job's run time still leaves so much of that for waiting.
@@ -754,7 +757,7 @@
             rent = lean;
         }
         let mut full = needed.max(level);
-        if tight {
+        if tight && !self.turns_over(class, wait) {
             // Nothing rented now would be up in time: machines must be there before the work.
             let ratio = self.config.tunables.spare_ratio;
             if run_s >= boot_s {
@@ -777,6 +780,17 @@
         }
     }
 
+    /// Whether small tasks end so often that a job of a class finds places in time on machines
+    /// that are all in use: what it waits for at most is the work before it in the order.
+    fn turns_over(&self, class: &Class, wait: f64) -> bool {
+        if self.is_large_class(class) {
+            return false;
+        }
+        let small = self.classes.values().filter(|c| !self.is_large_class(c));
+        let ends: f64 = small.map(|c| c.bound * c.amount.cpus / c.run_s()).sum();
+        ends * wait * TURNOVER_SHARE >= class.job_tasks() * class.amount.cpus
+    }
+
     /// How many large tasks need machines even if those are dear: what cheap ones can't start in
     /// time, one after the other.
     fn large_lean(&self, class: &Class, wait: f64, now: Time) -> f64 {
