--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -157,6 +157,8 @@
 const SETTLE_REPORTS: f64 = 1.5;
 /// Or earlier, once this part of the machines has been heard.
 const HEARD_SHARE: f64 = 0.95;
+/// Part of the free room on machines that stay which tasks of machines that go are moved to.
+const MOVE_ROOM: f64 = 0.5;
 /// Work that has not begun after this part of the time within which it should is sized by itself,
 /// so many jobs at once.
 const OVERLOOKED: f64 = 0.5;
@@ -1117,6 +1119,14 @@
     fn let_go(&mut self, units: &[Unit], now: Time) {
         let idle_ratio = self.config.tunables.idle_ratio;
         let mut back = Vec::new();
+        let mut moves = Vec::new();
+        // What is free on machines that stay.
+        let stay = units.iter().filter(|u| u.taken && u.up && !u.large);
+        let mut free = stay
+            .filter_map(|u| self.fleet.machines.get(&u.ix?))
+            .map(|m| (m.capacity.cpus - m.used.cpus).max(0.0))
+            .sum::<f64>()
+            * MOVE_ROOM;
         for unit in units {
             let Some(ix) = unit.ix else { continue };
             let Some(m) = self.fleet.machines.get_mut(&ix) else {
@@ -1130,21 +1140,41 @@
             if !m.is_up() || now - since < self.types[unit.type_ix].boot_s * idle_ratio {
                 continue;
             }
+            let paid = now - m.rented > CHARGED_S * 0.95;
             if m.is_empty() {
-                let paid = now - m.rented > CHARGED_S * 0.95;
                 if paid && m.slots.is_empty() {
                     back.push(ix);
                 }
             } else {
                 // Nothing new goes there, so that it can be returned.
                 m.draining = true;
+                if paid && m.used.cpus <= free && m.all_saves(&self.jobs) {
+                    free -= m.used.cpus;
+                    moves.push(ix);
+                }
             }
         }
+        for ix in moves {
+            self.move_off(ix);
+        }
         for ix in back {
             self.give_back(ix, "not needed");
         }
     }
 
+    /// Lets what runs on a machine save, to go on elsewhere. At the end of a day a single long task
+    /// on each of a hundred machines once held them all for minutes.
+    fn move_off(&mut self, ix: MachineIx) {
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        for (key, slot) in m.slots.iter_mut().filter(|(_, s)| !s.over) {
+            slot.stop.get_or_insert(self.jobs[&key.job].spec.save_s);
+        }
+        m.direct_wanted = true;
+        self.fleet.calls.insert(ix);
+    }
+
     /// The next call to make, if one is due.
     pub fn next_cloud_call(&mut self, now: Time) -> Option<CloudCall> {
         let w = &self.config.deployment.workers;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::book::{JobIx, MachineIx, Task};
+use crate::book::{Job, JobIx, MachineIx, Task};
 use crate::images::{Cache, Images};
 use crate::lead::{Lead, job_task, split_task};
 use crate::pricing::Amount;
@@ -249,6 +249,15 @@
         live.peek().is_some() && live.all(|s| s.stop.is_some())
     }
 
+    /// Whether all that is on it runs, can save and is not being stopped: it can go on elsewhere.
+    pub fn all_saves(&self, jobs: &BTreeMap<JobIx, Job>) -> bool {
+        self.slots.iter().filter(|(_, s)| !s.over).all(|(key, s)| {
+            let job = &jobs[&key.job];
+            let saves = job.spec.checkpoint_s > 0.0 && !job.is_gang();
+            saves && s.stop.is_none() && s.state == Some(TaskState::Running)
+        })
+    }
+
     /// Whether nothing is or may be on it but what is over.
     pub fn is_empty(&self) -> bool {
         self.slots.values().all(|s| s.over)
