--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -34,6 +34,8 @@
 const FETCH_PATIENCE: f64 = 0.2;
 /// An image to be fetched counts as so many times as far.
 const FETCH_WEIGHT: f64 = 2.0;
+/// A job that would take all machines for a second comes so many seconds later in the order.
+const SIZE_WEIGHT: f64 = 60.0;
 /// Work that missed its objectives is due after so many times the longest of them.
 const OVERDUE: f64 = 3.0;
 
@@ -245,6 +247,16 @@
         next.min(job.since + longest * OVERDUE)
     }
 
+    /// By how much a job comes later in the order for its size: where not all can be in time, the
+    /// same machines bring more small ones there.
+    fn size_s(&self, job: &Job, fleet_cpus: f64) -> f64 {
+        if job.is_gang() {
+            return 0.0;
+        }
+        let left = f64::from(job.spec.tasks - job.done) * job.spec.cpus * self.run_s(job);
+        left / fleet_cpus.max(1.0) * SIZE_WEIGHT
+    }
+
     /// The jobs that wait, in the order in which they are placed: by priority, then gangs that
     /// machines are gathered for, then those within
     /// their team's guarantee, then by what is due first, then by age.
@@ -277,6 +289,7 @@
                 );
             }
         }
+        let fleet: f64 = self.fleet.machines.values().map(|m| m.capacity.cpus).sum();
         let mut order: Vec<(usize, bool, bool, u64, u64, JobIx)> = self
             .active
             .iter()
@@ -287,7 +300,7 @@
                         3 - rank(job.spec.priority),
                         !self.gathers(job, now),
                         !within.get(ix).copied().unwrap_or(false),
-                        (self.due(job, now).max(0.0) * 1000.0) as u64,
+                        ((self.due(job, now) + self.size_s(job, fleet)).max(0.0) * 1000.0) as u64,
                         job.order,
                         *ix,
                     )
