--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -518,6 +518,27 @@
         }
     }
 
+    /// A worker has seen our token in a session: if that is later than all that is known of it, what
+    /// was on it before is gone, and what was sent to it before is refused.
+    pub(crate) fn on_session(&mut self, machine: &str, session: u64, now: Time) {
+        let Some(ix) = self.fleet.find(machine) else {
+            return;
+        };
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        if session <= m.session {
+            return;
+        }
+        m.session = session;
+        m.seq = 0;
+        m.kept.clear();
+        let gone: Vec<SlotKey> = m.slots.keys().copied().collect();
+        for key in gone {
+            self.off(ix, key, now);
+        }
+    }
+
     /// Whether work waits that a machine could be given within this moment.
     pub fn has_work_waiting(&self) -> bool {
         !self.active.is_empty()
--- a/src/node/standin.rs
+++ b/src/node/standin.rs
@@ -1,6 +1,6 @@
 //! Answering workers in the name of a leader whom they can't reach, see [`crate::zones`].
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 use futures_channel::oneshot;
@@ -33,11 +33,21 @@
     told: HashSet<(String, u64)>,
     /// Completed tasks, by job and attempt.
     pending: BTreeMap<(String, u64), BTreeSet<u32>>,
+    /// The sessions that were told, and those that are to be.
+    sessions: HashMap<String, u64>,
+    begun: Vec<(String, u64)>,
 }
 
 impl Relay {
     fn note(&mut self, report: &Report) -> bool {
         let mut fresh = false;
+        // One that has not yet seen the token may still be given something by a former leader.
+        if report.token == self.token
+            && self.sessions.insert(report.machine.clone(), report.session) != Some(report.session)
+        {
+            self.begun.push((report.machine.clone(), report.session));
+            fresh = true;
+        }
         for t in &report.tasks {
             let done = t.state == TaskState::Exited && t.why == Some(Why::Done);
             if done
@@ -53,9 +63,16 @@
     }
 
     /// Takes as much as fits into a value.
-    fn take(&mut self, limit: usize) -> Vec<JobLog> {
+    fn take(&mut self, zone: &str, limit: usize) -> RelayRecord {
         let mut jobs = Vec::new();
         let mut bytes = RELAY_MARGIN;
+        let mut sessions = Vec::new();
+        while bytes < limit
+            && let Some((machine, session)) = self.begun.pop()
+        {
+            bytes += machine.len() + RANGE_BYTES;
+            sessions.push((machine, session));
+        }
         while let Some(((id, attempt), tasks)) = self.pending.pop_first() {
             let mut done: Vec<(u32, u32)> = Vec::new();
             for task in &tasks {
@@ -65,7 +82,7 @@
                 }
             }
             bytes += id.len() + JOB_BYTES + done.len() * RANGE_BYTES;
-            if bytes > limit && !jobs.is_empty() {
+            if bytes > limit && !(jobs.is_empty() && sessions.is_empty()) {
                 self.pending.insert((id, attempt), tasks);
                 break;
             }
@@ -76,11 +93,17 @@
                 ..JobLog::default()
             });
         }
-        jobs
+        RelayRecord {
+            token: self.token,
+            zone: zone.to_owned(),
+            jobs,
+            sessions,
+        }
     }
 
-    fn give_back(&mut self, jobs: &[JobLog]) {
-        for log in jobs {
+    fn give_back(&mut self, record: RelayRecord) {
+        self.begun.extend(record.sessions);
+        for log in &record.jobs {
             let tasks = self.pending.entry((log.id.clone(), log.attempt));
             let all = log.done.iter().flat_map(|(first, n)| *first..first + n);
             tasks.or_default().extend(all);
@@ -212,16 +235,17 @@
                 let taken = {
                     let mut relays = self.relays.borrow_mut();
                     let relay = relays.get_mut(&zone);
-                    relay.map(|r| (r.token, r.take(limit)))
+                    relay.map(|r| r.take(&zone, limit))
                 };
-                let Some((token, jobs)) = taken.filter(|(_, jobs)| !jobs.is_empty()) else {
+                let tells = |r: &RelayRecord| !(r.jobs.is_empty() && r.sessions.is_empty());
+                let Some(record) = taken.filter(tells) else {
                     continue;
                 };
-                let record = RelayRecord { token, zone, jobs };
                 if !self.write_relay(&record).await {
                     let mut relays = self.relays.borrow_mut();
-                    if let Some(relay) = relays.get_mut(&record.zone).filter(|r| r.token == token) {
-                        relay.give_back(&record.jobs);
+                    let relay = relays.get_mut(&zone);
+                    if let Some(relay) = relay.filter(|r| r.token == record.token) {
+                        relay.give_back(record);
                     }
                 }
                 self.relay_work.set();
--- a/src/view.rs
+++ b/src/view.rs
@@ -80,6 +80,9 @@
     pub token: u64,
     pub zone: String,
     pub jobs: Vec<JobLog>,
+    /// Machines, and the sessions in which their workers have seen that token.
+    #[serde(default)]
+    pub sessions: Vec<(String, u64)>,
 }
 
 /// How a job ended.
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -271,13 +271,16 @@
         }
     }
 
-    /// A stand-in tells of tasks that completed. That stays true whatever else happens; nothing is
-    /// reaped for it.
+    /// A stand-in tells of tasks that completed, and of sessions that began. Both stay true whatever
+    /// else happens, late copies included; nothing is reaped for them.
     pub fn on_relay(&mut self, record: &RelayRecord, now: Time) {
         if record.token != self.token {
             return;
         }
         self.zones.relayed.insert(record.zone.as_str().into(), now);
+        for (machine, session) in &record.sessions {
+            self.on_session(machine, *session, now);
+        }
         for log in &record.jobs {
             let Some(ix) = self.job_ix(&log.id) else {
                 continue;
