--- a/src/election.rs
+++ b/src/election.rs
@@ -29,6 +29,20 @@
     No,
 }
 
+/// Whether another controller should rather lead. Workers that can't reach their controller try the
+/// next one, which takes them several seconds each: when the zones can't reach each other they are
+/// kept by a stand-in only if that one is in another zone than the leader.
+pub fn prefers_others(config: &Config) -> bool {
+    let own = (config.node.as_str(), config.zone.as_str());
+    let peers = config.peers.iter();
+    let mut ring: Vec<(&str, &str)> = peers.map(|p| (p.name.as_str(), p.zone.as_str())).collect();
+    ring.push(own);
+    ring.sort_unstable();
+    let followed = |at: usize| ring[at].1 != ring[(at + 1) % ring.len()].1;
+    let at = ring.iter().position(|node| *node == own).unwrap_or(0);
+    !followed(at) && (0..ring.len()).any(followed)
+}
+
 /// Tries to take the office. None if another has it or nothing is known.
 pub async fn stand(
     rt: &Rt,
--- a/src/node.rs
+++ b/src/node.rs
@@ -102,6 +102,8 @@
 const ASTRAY_WORKERS: usize = 2;
 /// How long a leader that resigned stands back, in lives of its lease.
 const STAND_BACK_LIVES: f64 = 3.0;
+/// For how long a controller waits for others that should rather lead, in lives of the lease.
+const STAND_ASIDE: f64 = 0.3;
 /// For how long arrivals are watched, and in what steps: some times what a machine takes to boot,
 /// which is not known before the machine types are.
 const EXPECT_S: f64 = 150.0;
@@ -940,6 +942,12 @@
             self.rt.sleep(STATE_PAUSE_S).await;
         }
         let mut stand_at = self.now();
+        let patience = if election::prefers_others(&self.config) {
+            life * STAND_ASIDE
+        } else {
+            0.0
+        };
+        let mut vacant_since = None;
         loop {
             self.leader_moved.clear();
             if self.older_self_leads() {
@@ -947,7 +955,11 @@
             }
             let vacant = self.loaded.get() && self.view.borrow().leader.is_none();
             let able = self.view.borrow().types.is_some();
-            if vacant && able && self.now() >= stand_at {
+            let since = *vacant_since.get_or_insert(self.now());
+            if !(vacant && able) {
+                vacant_since = None;
+            }
+            if vacant && able && self.now() >= stand_at.max(since + patience) {
                 let stood =
                     election::stand(&self.rt, &self.store, &self.config, self.incarnation).await;
                 if let Some(tenure) = stood {
