--- /dev/null
+++ b/src/scenarios/renting.rs
@@ -0,0 +1,138 @@
+//! Which machines are rented.
+
+use std::rc::Rc;
+
+use super::gang;
+use crate::autoscale::{CloudAnswer, CloudCall};
+use crate::lead::Lead;
+use crate::testing::{FakeStore, FakeWorker, job};
+use crate::wire::Why;
+
+/// A new leader once rented a second fleet before it had heard of the first.
+#[test]
+fn a_new_leader_rents_nothing_before_it_knows_what_is_there() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 40));
+    let mut lead = store.elect("n1", 100.0);
+    let rents = |lead: &mut Lead, now: f64, listed: &str| {
+        lead.tend(now);
+        let mut found = 0;
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(..) => {
+                    found += 1;
+                    CloudAnswer::NoCapacity
+                }
+                CloudCall::List { .. } => {
+                    CloudAnswer::List(serde_json::from_str(listed).unwrap(), false)
+                }
+                _ => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+        found
+    };
+    let machine = r#"[{"Uid":"i-1","Addr":"127.0.0.1:9","Rig":"big","Yard":"north","Loaner":false,
+        "Status":"running","HeldS":300.0}]"#;
+    assert_eq!(rents(&mut lead, 100.0, machine), 0);
+    assert_eq!(rents(&mut lead, 101.0, machine), 0);
+    assert!(rents(&mut lead, 106.0, machine) > 0);
+
+    // With nothing there at all, there is nothing to wait for.
+    let mut lead = store.elect("n2", 200.0);
+    assert_eq!(rents(&mut lead, 200.0, "[]"), 0);
+    assert!(rents(&mut lead, 201.0, "[]") > 0);
+    // Nor once the first machines of its own are coming: at a start the rest once waited for
+    // reports that nobody made.
+    lead.fleet.enter("i-9", "north", 201.0);
+    store.submit(&job("j-2", 400));
+    let stored = store.view().jobs["j-2"].clone();
+    lead.enter_job(&"j-2".into(), &stored, 201.5);
+    assert!(rents(&mut lead, 202.0, "[]") > 0);
+}
+
+/// Ten more requests once went to a pool after it had refused: other pools waited for as long.
+#[test]
+fn a_pool_that_refuses_is_not_asked_for_the_rest_and_others_are_asked_at_once() {
+    let mut store = FakeStore::default();
+    let mut large = job("j-1", 4000);
+    large.types = Some(vec!["small".into()]);
+    store.submit(&large);
+    let mut lead = store.elect("n0", 0.0);
+    let mut asked = Vec::new();
+    for step in 0..4 {
+        let now = f64::from(step);
+        lead.tend(now);
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(rent, _) if rent.zone == "north" => {
+                    asked.push((now, rent.zone.clone()));
+                    // Room for three.
+                    let names = ["i-1", "i-2", "i-3"].map(str::to_owned);
+                    CloudAnswer::Rented(names.to_vec())
+                }
+                CloudCall::Rent(rent, _) => {
+                    asked.push((now, rent.zone.clone()));
+                    CloudAnswer::NoCapacity
+                }
+                CloudCall::List { .. } => CloudAnswer::List(Vec::new(), false),
+                _ => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+    }
+    let count = |zone: &str| asked.iter().filter(|(_, z)| z == zone).count();
+    assert_eq!((count("north"), count("south")), (1, 1), "{asked:?}");
+}
+
+/// By the mean of its class a gang's tasks fitted on a machine together, so none was ever rented for it.
+#[test]
+fn a_gang_larger_than_its_class_is_used_to_gets_its_machines() {
+    let mut store = FakeStore::default();
+    for i in 1..=9 {
+        store.submit(&job(&format!("j-{i}"), 1));
+    }
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws = vec![FakeWorker::new("i-1", "small", "north")];
+    let mut now = 0.0;
+    while store.end("j-10").is_none() {
+        now += 3.0;
+        assert!(now < 150.0 + 240.0);
+        if now == 150.0 {
+            store.submit(&gang("j-10", 3));
+            let id: Rc<str> = "j-10".into();
+            lead.enter_job(&id, &store.view().jobs[&id], now);
+        }
+        for w in &mut ws {
+            w.checkin(&mut lead, now);
+            for task in w.running() {
+                w.end(&task, Why::Done);
+            }
+        }
+        lead.tend(now);
+        store.settle(&mut lead, now);
+        while let Some(call) = lead.next_cloud_call(now) {
+            let answer = match &call {
+                CloudCall::Rent(rent, _) if rent.type_name == "small" => {
+                    let first = ws.len() + 1;
+                    let names = (0..rent.count as usize).map(|i| format!("i-{}", first + i));
+                    let names: Vec<String> = names.collect();
+                    ws.extend(
+                        names
+                            .iter()
+                            .map(|n| FakeWorker::new(n, "small", &rent.zone)),
+                    );
+                    CloudAnswer::Rented(names)
+                }
+                CloudCall::Rent(..) => CloudAnswer::NoCapacity,
+                CloudCall::List { .. } => CloudAnswer::List(Vec::new(), false),
+                CloudCall::Delete(names) => {
+                    ws.retain(|w| !names.contains(&w.report.machine));
+                    CloudAnswer::Deleted
+                }
+                CloudCall::Types => CloudAnswer::Failed,
+            };
+            lead.on_cloud(call, answer, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/scenarios/writes.rs
@@ -0,0 +1,244 @@
+//! What is stored, and what becomes of transactions.
+
+use std::rc::Rc;
+
+use super::{gang, meet, starts};
+use crate::lead::{AfterTxn, Lead, TxnOutcome};
+use crate::testing::{FakeStore, FakeWorker, job};
+use crate::view::{End, JobView};
+use crate::wire::{Change, Submission, Why};
+
+#[test]
+fn a_lost_answer_to_a_write_is_settled_by_reading_back() {
+    for applied in [true, false] {
+        let mut store = FakeStore::default();
+        store.submit(&job("j-1", 1));
+        let mut lead = store.elect("n0", 0.0);
+        let mut w = FakeWorker::new("i-1", "small", "north");
+        meet(&mut w, &mut lead, 1.0);
+        lead.plan(2.0);
+        let txn = lead.next_txn(2.0).unwrap();
+        if applied {
+            store.apply(&txn);
+        }
+        assert_eq!(lead.txn_done(TxnOutcome::Unknown, 2.0), AfterTxn::Again);
+        // Not known to be stored: not launched.
+        assert_eq!(starts(&w.checkin(&mut lead, 2.5)), 0);
+        let again = lead.next_txn(3.0).unwrap();
+        let outcome = store.apply(&again);
+        match lead.txn_done(outcome, 3.0) {
+            AfterTxn::ReadBack(key) => {
+                assert!(applied);
+                lead.read_back(store.keys[&key].1, 3.0);
+            }
+            after => assert_eq!((after, applied), (AfterTxn::Go, false)),
+        }
+        assert_eq!(starts(&w.checkin(&mut lead, 3.5)), 1);
+    }
+}
+
+#[test]
+fn a_write_after_the_office_was_lost_ends_the_tenure() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 1));
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    old.plan(2.0);
+    let txn = old.next_txn(2.0).unwrap();
+    store.elect("n1", 10.0);
+    let outcome = store.apply(&txn);
+    assert_eq!(old.txn_done(outcome, 10.0), AfterTxn::Lost);
+}
+
+#[test]
+fn an_array_larger_than_one_value_survives_a_takeover() {
+    let mut store = FakeStore::default();
+    let mut large = job("j-1", 2000);
+    large.cpus = 0.1;
+    large.memory_gb = 0.1;
+    store.submit(&large);
+    let mut old = store.elect("n0", 0.0);
+    // Neighbours are on different machines: no two tasks are told of as one range.
+    let mut ws: Vec<FakeWorker> = (0..4)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "big", "north"))
+        .collect();
+    for w in &mut ws {
+        meet(w, &mut old, 1.0);
+    }
+    let running = |ws: &[FakeWorker]| ws.iter().map(|w| w.running().len()).sum::<usize>();
+    let mut now = 1.0;
+    while running(&ws) < 2000 {
+        now += 1.0;
+        assert!(now < 100.0, "{} run", running(&ws));
+        store.settle(&mut old, now);
+        for w in &mut ws {
+            w.checkin(&mut old, now);
+        }
+    }
+    let runs = store.keys.iter().filter(|(k, _)| k.contains("/run/"));
+    let sizes: Vec<usize> = runs.map(|(_, (v, _))| v.get().len()).collect();
+    assert!(sizes.len() > 2, "{sizes:?}");
+    assert!(sizes.iter().all(|s| *s <= 8 * 1024), "{sizes:?}");
+    for task in (0..2000).filter(|t| t % 3 == 0) {
+        for w in &mut ws {
+            w.end(&format!("j-1/{task}"), Why::Done);
+        }
+    }
+    for _ in 0..5 {
+        now += 1.0;
+        for w in &mut ws {
+            w.checkin(&mut old, now);
+        }
+        store.settle(&mut old, now + 0.9);
+    }
+    let shown = store.view().jobs["j-1"].status("j-1");
+    assert_eq!((shown.done, shown.running), (667, 1333));
+    let mut new = store.elect("n1", now + 10.0);
+    now += 11.0;
+    for task in 0..2000 {
+        for w in &mut ws {
+            w.end(&format!("j-1/{task}"), Why::Done);
+        }
+    }
+    for _ in 0..12 {
+        now += 1.0;
+        for w in &mut ws {
+            w.checkin(&mut new, now);
+        }
+        store.settle(&mut new, now);
+    }
+    assert_eq!(store.end("j-1"), Some(End::Done));
+    assert!(ws.iter().all(|w| w.report.tasks.is_empty()));
+    // The end stays when all else is cleared away; what the log says of it tells nothing.
+    let next = store.elect("n2", now + 10.0);
+    assert_eq!((next.jobs.len(), next.fleet.machines.len()), (0, 0));
+}
+
+/// A value over the store's limit would be refused for ever, and with it all that comes after.
+#[test]
+fn placements_on_machines_with_long_names_take_several_values() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 140));
+    let mut lead = store.elect("n0", 0.0);
+    for i in 0..36 {
+        let name = format!("i-{i}-{}", "x".repeat(300));
+        let mut w = FakeWorker::new(&name, "small", "north");
+        meet(&mut w, &mut lead, 1.0);
+    }
+    lead.plan(1.0);
+    let mut values = 0;
+    let mut now = 1.0;
+    while let Some(txn) = lead.next_txn(now) {
+        for change in &txn.changes {
+            let Change::Put { value, .. } = change else {
+                panic!("{change:?}");
+            };
+            assert!(value.get().len() <= 8 * 1024, "{}", value.get().len());
+            values += 1;
+        }
+        let outcome = store.apply(&txn);
+        assert_eq!(lead.txn_done(outcome, now), AfterTxn::Go);
+        now += 1.0;
+    }
+    assert!(values > 1);
+    let new = store.elect("n1", 20.0);
+    let bound: Vec<u32> = new.jobs.values().map(|j| j.bound).collect();
+    assert_eq!(bound, [140]);
+}
+
+/// Each job's tasks once had values of their own: at some dozens of jobs all launches waited for
+/// the store's few writes. Now the writes must not follow the number of jobs, and old values must
+/// go without taking along what only they told.
+#[test]
+fn the_log_of_many_jobs_takes_few_writes_and_keeps_what_is_needed() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws: Vec<FakeWorker> = (0..8)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "big", "north"))
+        .collect();
+    for w in &mut ws {
+        meet(w, &mut lead, 0.5);
+    }
+    // One long job that runs all the time, and many short ones.
+    let mut long = job("j-9999", 4);
+    long.class = "long".into();
+    store.submit(&long);
+    let enter = |lead: &mut Lead, spec: Submission, now: f64| {
+        let id = spec.id.as_str().into();
+        let mut stored = JobView::default();
+        stored.spec = Some(Rc::new(spec));
+        lead.enter_job(&id, &stored, now);
+    };
+    enter(&mut lead, long, 0.5);
+    let mut puts = 0;
+    for round in 0..200 {
+        let now = 1.0 + f64::from(round);
+        for i in 0..5 {
+            let id = format!("j-{}", round * 5 + i);
+            store.submit(&job(&id, 8));
+            enter(&mut lead, job(&id, 8), now);
+        }
+        lead.plan(now);
+        while let Some(txn) = lead.next_txn(now) {
+            let run = |c: &&Change| matches!(c, Change::Put { key, .. } if key.contains("/run/"));
+            puts += txn.changes.iter().filter(run).count();
+            let outcome = store.apply(&txn);
+            assert_eq!(lead.txn_done(outcome, now), AfterTxn::Go);
+        }
+        for w in &mut ws {
+            w.checkin(&mut lead, now + 0.3);
+            for task in w.running().iter().filter(|t| !t.starts_with("j-9999")) {
+                w.end(task, Why::Done);
+            }
+            w.checkin(&mut lead, now + 0.6);
+        }
+    }
+    assert!(puts < 450, "{puts} values for 1000 jobs");
+    let values = store.keys.keys().filter(|k| k.contains("/run/")).count();
+    assert!(values < 150, "{values} values left");
+    assert_eq!(store.view().jobs["j-9999"].status("j-9999").running, 4);
+    let new = store.elect("n1", 500.0);
+    assert_eq!(new.jobs[&new.job_ix("j-9999").unwrap()].bound, 4);
+    let done = store
+        .view()
+        .jobs
+        .values()
+        .filter(|j| j.end.is_some())
+        .count();
+    assert!(done > 950, "{done}");
+}
+
+/// Where the state service takes one small write a second, all goes on, only later.
+#[test]
+fn the_smallest_limits_of_the_state_service_stop_nothing() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 30));
+    store.submit(&gang("j-2", 2));
+    let mut lead = store.elect("n0", 0.0);
+    let mut config = crate::config::tests::sample();
+    config.deployment.state.write_rps = 1.0;
+    config.deployment.state.txn_ops = 1;
+    config.deployment.state.value_kb = 1.0;
+    lead.config = Rc::new(config);
+    let mut ws: Vec<FakeWorker> = (0..3)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let mut now = 0.0;
+    while store.end("j-1").is_none() || store.end("j-2").is_none() {
+        now += 3.0;
+        assert!(now < 300.0);
+        for w in &mut ws {
+            for task in w.running() {
+                w.end(&task, Why::Done);
+            }
+            w.checkin(&mut lead, now);
+        }
+        lead.plan(now);
+        while let Some(txn) = lead.next_txn(now) {
+            assert_eq!(txn.changes.len(), 1);
+            let outcome = store.apply(&txn);
+            lead.txn_done(outcome, now);
+        }
+    }
+}
