--- a/src/scenarios/zones.rs
+++ b/src/scenarios/zones.rs
@@ -1,7 +1,14 @@
 //! Zones that the leader can't reach.
 
+use serde_json::value::to_raw_value;
+
+use super::returned;
 use crate::autoscale::{CloudAnswer, CloudCall};
+use crate::fleet::Source;
+use crate::lead::{Lead, TxnOutcome};
 use crate::testing::{FakeStore, FakeWorker, job};
+use crate::view::{JobLog, RelayRecord, StandInRecord, key};
+use crate::wire::{Change, Condition, Txn};
 
 /// While a zone was cut off, all that was lost there was once rented there anew, where there were
 /// now the fewest machines; it came up and was not heard for the whole time.
@@ -54,3 +61,154 @@
     assert!(!zones.is_empty());
     assert!(zones.iter().all(|z| z == "north"), "{zones:?}");
 }
+
+/// Two zones of 14 machines with a task on each; the south is not heard any more from 10 s on.
+fn cut() -> (FakeStore, Lead, Vec<FakeWorker>, Vec<FakeWorker>) {
+    let mut store = FakeStore::default();
+    let mut spec = job("j-1", 28);
+    spec.cpus = 6.0;
+    spec.types = Some(vec!["small".into()]);
+    store.submit(&spec);
+    let mut lead = store.elect("n0", 0.0);
+    let worker = |i: usize, zone| FakeWorker::new(&format!("i-{i:02}"), "small", zone);
+    let mut north: Vec<FakeWorker> = (0..14).map(|i| worker(i, "north")).collect();
+    let mut south: Vec<FakeWorker> = (14..28).map(|i| worker(i, "south")).collect();
+    for step in 0..40 {
+        let now = f64::from(step) * 0.25;
+        for w in north.iter_mut().chain(&mut south) {
+            w.checkin(&mut lead, now);
+        }
+        store.settle(&mut lead, now);
+    }
+    assert_eq!(bound(&lead), 28);
+    hear(&mut store, &mut lead, &mut north, 10.0, 16.0);
+    (store, lead, north, south)
+}
+
+/// Lets these workers alone be heard for some time.
+fn hear(store: &mut FakeStore, lead: &mut Lead, ws: &mut [FakeWorker], from: f64, to: f64) {
+    let mut now = from;
+    while now < to {
+        for w in ws.iter_mut() {
+            w.checkin(lead, now);
+        }
+        lead.last_report = now;
+        lead.tend(now);
+        store.settle(lead, now);
+        returned(lead, now);
+        now += 0.5;
+    }
+}
+
+fn bound(lead: &Lead) -> u32 {
+    lead.jobs.values().map(|j| j.bound).sum()
+}
+
+fn word(store: &FakeStore) -> Option<StandInRecord> {
+    let view = store.view();
+    view.stand_ins.values().next().map(|(r, _)| r.clone())
+}
+
+/// While others may answer the workers of a zone, silence tells nothing of their tasks: these were
+/// once to be started elsewhere while they ran on. That ends a lease after the word was taken back.
+#[test]
+fn nothing_is_freed_for_silence_where_others_may_answer() {
+    let (mut store, mut lead, mut north, mut south) = cut();
+    let given = word(&store).expect("no word");
+    assert_eq!(
+        (given.token, &*given.zone, given.over),
+        (lead.token, "south", false)
+    );
+    hear(&mut store, &mut lead, &mut north, 16.0, 50.0);
+    assert_eq!(bound(&lead), 28);
+    // One of the zone answers the leader again, and reports to it from then on.
+    let report = south[0].next();
+    lead.on_report(&report, Source::Direct, 50.0);
+    north.push(south.remove(0));
+    hear(&mut store, &mut lead, &mut north, 50.2, 52.0);
+    assert!(word(&store).unwrap().over);
+    let off = lead.config.off_after_s();
+    hear(&mut store, &mut lead, &mut north, 52.0, 50.0 + off);
+    assert_eq!(bound(&lead), 28);
+    // What never came back is free then.
+    hear(&mut store, &mut lead, &mut north, 50.0 + off, 55.0 + off);
+    assert_eq!(bound(&lead), 15);
+}
+
+/// The word is written twice at the most, and a late copy of either write changes nothing.
+#[test]
+fn a_late_copy_of_a_word_neither_gives_nor_takes_it() {
+    let (mut store, mut lead, mut north, mut south) = cut();
+    let (key, (record, _)) = store.view().stand_ins.into_iter().next().unwrap();
+    let put = |record: &StandInRecord| Change::Put {
+        key: key.clone(),
+        value: to_raw_value(record).unwrap(),
+        lease: None,
+    };
+    let condition = |key: String, version| Condition { key, version };
+    let given = Txn {
+        conditions: vec![
+            condition(key::leader(), lead.token),
+            condition(key.clone(), 0),
+        ],
+        changes: vec![put(&record)],
+    };
+    assert!(matches!(store.apply(&given), TxnOutcome::Conflict(_)));
+    lead.on_report(&south[0].next(), Source::Direct, 16.0);
+    hear(&mut store, &mut lead, &mut north, 16.2, 18.0);
+    assert!(word(&store).unwrap().over);
+    assert!(matches!(store.apply(&given), TxnOutcome::Conflict(_)));
+    assert!(word(&store).unwrap().over);
+    // The next leader heeds it no more and clears it away.
+    let mut next = store.elect("n1", 20.0);
+    hear(&mut store, &mut next, &mut north, 20.0, 24.0);
+    let words = store.view().stand_ins;
+    assert!(
+        words.values().all(|(r, _)| r.token == next.token),
+        "{words:?}"
+    );
+}
+
+/// Work that completed behind a cut was once done only when the cut was over; work that was lost there
+/// stayed bound as long.
+#[test]
+fn what_is_told_from_behind_a_cut_counts_once_whenever_it_comes() {
+    let (mut store, mut lead, mut north, mut south) = cut();
+    let task = |w: &FakeWorker| w.running()[0].rsplit_once('/').unwrap().1.parse().unwrap();
+    let done: u32 = task(&south[0]);
+    let attempt = south[0].report.tasks[0].attempt;
+    let record = RelayRecord {
+        token: lead.token,
+        zone: "south".into(),
+        jobs: vec![JobLog {
+            id: "j-1".into(),
+            attempt,
+            done: vec![(done, 1)],
+            ..JobLog::default()
+        }],
+        sessions: vec![(south[1].report.machine.clone(), 2)],
+    };
+    for _ in 0..2 {
+        lead.on_relay(&record, 16.0);
+        let job = lead.jobs.values().next().unwrap();
+        assert_eq!((job.done, job.bound), (1, 26));
+    }
+    // The lost task runs elsewhere; a late copy does not free what the machine got since.
+    hear(&mut store, &mut lead, &mut north, 16.0, 18.0);
+    south[1].report.session = 2;
+    south[1].report.tasks.clear();
+    for now in [18.0, 18.5, 19.0] {
+        south[1].checkin(&mut lead, now);
+        store.settle(&mut lead, now);
+    }
+    south[1].checkin(&mut lead, 19.5);
+    assert_eq!(south[1].running().len(), 1);
+    let before = bound(&lead);
+    lead.on_relay(&record, 20.0);
+    assert_eq!(bound(&lead), before);
+    // Another tenure's words are not heeded.
+    let mut next = store.elect("n1", 21.0);
+    let was = bound(&next);
+    next.on_relay(&record, 21.0);
+    assert_eq!(bound(&next), was);
+}
