--- a/src/node/standin.rs
+++ b/src/node/standin.rs
@@ -28,7 +28,7 @@
 
 /// What is to be told to the leader of a zone's tasks.
 #[derive(Debug, Default)]
-pub(super) struct Relay {
+pub(crate) struct Relay {
     token: u64,
     told: HashSet<(String, u64)>,
     /// Completed tasks, by job and attempt.
@@ -39,7 +39,16 @@
 }
 
 impl Relay {
-    fn note(&mut self, report: &Report) -> bool {
+    /// For a leader with this token.
+    pub(crate) fn new(token: u64) -> Self {
+        Relay {
+            token,
+            ..Relay::default()
+        }
+    }
+
+    /// Takes in a report; whether it shows something to be told.
+    pub(crate) fn note(&mut self, report: &Report) -> bool {
         let mut fresh = false;
         // One that has not yet seen the token may still be given something by a former leader.
         if report.token == self.token
@@ -63,7 +72,7 @@
     }
 
     /// Takes as much as fits into a value.
-    fn take(&mut self, zone: &str, limit: usize) -> RelayRecord {
+    pub(crate) fn take(&mut self, zone: &str, limit: usize) -> RelayRecord {
         let mut jobs = Vec::new();
         let mut bytes = RELAY_MARGIN;
         let mut sessions = Vec::new();
@@ -111,6 +120,19 @@
     }
 }
 
+/// Stops for all that a worker has of jobs that are over: a cancelled job must be gone in time, and
+/// its worker's lease goes on here.
+pub(crate) fn stops(report: &Report, over: impl Fn(&str) -> bool) -> Vec<Command> {
+    let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+    live.filter(|t| over(&t.task))
+        .map(|t| Command::Stop {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace_s: 0.0,
+        })
+        .collect()
+}
+
 impl Node {
     /// Answers a report in the leader's name, if the leader lets others do so in the worker's zone.
     pub(super) async fn stand_in(&self, report: &Report, token: u64) -> Option<Response> {
@@ -136,47 +158,35 @@
         let (tell, told) = oneshot::channel();
         self.word_queue.borrow_mut().push((word, tell));
         self.word_work.set();
-        if !matches!(self.rt.timeout(POLL_S, told).await, Ok(Ok(true))) {
-            return Some(Response::later(
-                503,
-                "the leader's word is not known",
-                RETRY_S,
-            ));
+        match self.rt.timeout(POLL_S, told).await {
+            Ok(Ok(Some(true))) => {}
+            // Taken back, or another leads by now.
+            Ok(Ok(Some(false))) => return None,
+            _ => {
+                return Some(Response::later(
+                    503,
+                    "the leader's word is not known",
+                    RETRY_S,
+                ));
+            }
         }
         let fresh = {
             let mut relays = self.relays.borrow_mut();
             let relay = relays.entry(report.zone.clone()).or_default();
             if relay.token != token {
-                *relay = Relay {
-                    token,
-                    ..Relay::default()
-                };
+                *relay = Relay::new(token);
             }
             relay.note(report)
         };
         if fresh {
             self.relay_work.set();
         }
-        let commands = self.stops(report);
-        Some(Response::json(200, &ReportReply { token, commands }))
-    }
-
-    /// Stops for all that a worker has of jobs that are over: a cancelled job must be gone in time,
-    /// and its worker's lease goes on here.
-    fn stops(&self, report: &Report) -> Vec<Command> {
         let view = self.view.borrow();
-        let over = |name: &str| {
-            let job = split_task(name).and_then(|(id, _)| view.jobs.get(id));
-            job.is_some_and(|j| j.end.is_some())
-        };
-        let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
-        live.filter(|t| over(&t.task))
-            .map(|t| Command::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0.0,
-            })
-            .collect()
+        let ended = |id: &str| view.jobs.get(id).is_some_and(|j| j.end.is_some());
+        let commands = stops(report, |name| {
+            split_task(name).is_some_and(|(id, _)| ended(id))
+        });
+        Some(Response::json(200, &ReportReply { token, commands }))
     }
 
     /// Reads, for reports that wait, whether leaders' words still stand; then waits for the view to
@@ -185,7 +195,7 @@
         loop {
             self.word_work.take().await;
             let waiting = self.word_queue.take();
-            let mut known: Vec<(Word, bool)> = Vec::new();
+            let mut known: Vec<(Word, Option<bool>)> = Vec::new();
             for (word, tell) in waiting {
                 let found = known.iter().find(|(w, _)| *w == word).map(|(_, ok)| *ok);
                 let stands = match found {
@@ -202,7 +212,8 @@
         }
     }
 
-    async fn word_stands(&self, word: &Word) -> bool {
+    /// None: the store gave no word.
+    async fn word_stands(&self, word: &Word) -> Option<bool> {
         let compare = Txn {
             conditions: vec![
                 Condition {
@@ -219,9 +230,10 @@
         match self.store.txn(&compare).await {
             TxnOutcome::Applied(revision) => {
                 self.heard_state();
-                self.reach(revision).await
+                self.reach(revision).await.then_some(true)
             }
-            _ => false,
+            TxnOutcome::Conflict(_) => Some(false),
+            TxnOutcome::Refused | TxnOutcome::Unknown => None,
         }
     }
 
@@ -272,3 +284,147 @@
         matches!(self.user_write(&txn).await, Some(TxnOutcome::Applied(_)))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+
+    use crate::http::{Request, serve};
+    use crate::node::tests::{LIMITS, answer};
+    use crate::rt::{Rt, Scope};
+    use crate::testing::{FakeWorker, job, types};
+    use crate::wire::ReportTask;
+
+    /// What the scripted store says when it is asked whether the leader's word stands.
+    const ANSWERS: [(u16, &str); 3] = [
+        (200, r#"{"Epoch":9}"#),
+        (409, r#"{"failed":["x"],"Epoch":9}"#),
+        (503, "{}"),
+    ];
+
+    /// The store's content: n1 leads, lets others answer in the south, and a job is cancelled.
+    fn stored() -> String {
+        let specs = ["j-1", "j-2"].map(|id| serde_json::to_string(&job(id, 2)).unwrap());
+        let types = serde_json::to_string(&types()).unwrap();
+        let word = r#"{"token":7,"zone":"south","over":false}"#;
+        let keys = [
+            (key::leader(), r#"{"host":"n1","incarnation":1}"#, 7),
+            (key::stand_in(7, 1), word, 8),
+            (key::job("j-1"), &specs[0], 2),
+            (key::job("j-2"), &specs[1], 3),
+            (key::end("j-2"), r#"{"end":"aborted","done":0}"#, 9),
+            (key::types(), &types, 1),
+        ];
+        let pairs = keys.map(|(k, v, stamp)| format!(r#"{{"K":"{k}","V":{v},"Stamp":{stamp}}}"#));
+        let pairs = pairs.join(",");
+        format!(r#"{{"Pairs":[{pairs}],"Truncated":false,"Epoch":9}}"#)
+    }
+
+    /// A controller answers in the leader's name only if the store, asked after the report came,
+    /// shows that it may: else a later leader would start elsewhere what still runs there. What is
+    /// cancelled is stopped by the answer, as the worker's lease goes on.
+    #[test]
+    fn reports_are_answered_for_the_leader_only_while_its_word_stands() {
+        let finished = Rc::new(Cell::new(false));
+        let end = finished.clone();
+        Rt::run::<calloop::Error>(move |rt| {
+            let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            let mut config = crate::config::tests::sample();
+            config.services.state = listener.addr().unwrap();
+            let asked = Rc::new(Cell::new(0));
+            let (rt2, count) = (rt.clone(), asked.clone());
+            let handler = Rc::new(move |request: Request| {
+                let (rt, asked) = (rt2.clone(), count.clone());
+                Box::pin(async move {
+                    if request.path.starts_with("/keys?") {
+                        return answer(200, stored());
+                    }
+                    if request.path == crate::wire::path::TXN {
+                        let (status, body) = ANSWERS[asked.get()];
+                        asked.set(asked.get() + 1);
+                        return answer(status, body.into());
+                    }
+                    // A watch for what never comes.
+                    rt.sleep(crate::node::WATCH_S).await;
+                    answer(503, "{}".into())
+                }) as _
+            });
+            let root = Scope::new(rt);
+            root.spawn(serve(rt.clone(), listener, LIMITS, handler));
+            let node = Rc::new(Node::new(rt, Rc::new(config)));
+            root.spawn(node.clone().follow_duty());
+            root.spawn(node.clone().word_duty());
+            let rt = rt.clone();
+            root.spawn(async move {
+                while !node.loaded.get() {
+                    node.moved.next().await;
+                }
+                let mut w = FakeWorker::new("i-1", "small", "south");
+                let running = |task: &str| ReportTask {
+                    task: task.into(),
+                    attempt: 1,
+                    state: TaskState::Running,
+                    why: None,
+                    saved: None,
+                };
+                w.report.tasks = vec![running("j-1/0"), running("j-2/0")];
+                let ask = async |w: &mut FakeWorker| {
+                    let body = serde_json::to_vec(&w.next()).unwrap();
+                    node.report(&body).await
+                };
+                let told = ask(&mut w).await;
+                assert_eq!(told.status, 200);
+                let reply: ReportReply = serde_json::from_slice(&told.body).unwrap();
+                let stop = Command::Stop {
+                    task: "j-2/0".into(),
+                    attempt: 1,
+                    grace_s: 0.0,
+                };
+                assert_eq!((reply.token, reply.commands), (7, vec![stop]));
+                assert_eq!(ask(&mut w).await.status, 421);
+                assert_eq!(ask(&mut w).await.status, 503);
+                // Nobody stands in elsewhere, nor under an older token than the worker has seen.
+                w.report.zone = "north".into();
+                assert_eq!(ask(&mut w).await.status, 421);
+                (w.report.zone, w.report.token) = ("south".into(), 8);
+                assert_eq!(ask(&mut w).await.status, 421);
+                assert_eq!(asked.get(), 3);
+                end.set(true);
+                rt.stop();
+            });
+            Ok(root)
+        })
+        .unwrap();
+        assert!(finished.get());
+    }
+
+    #[test]
+    fn what_is_told_to_the_leader_fits_into_values_and_is_told_once() {
+        let mut relay = Relay::new(7);
+        let mut w = FakeWorker::new("i-1", "small", "south");
+        w.report.token = 7;
+        for task in 0..300 {
+            let task = format!("j-{}/{}", task / 3, task % 3);
+            let start = Command::Start {
+                task: task.clone(),
+                attempt: 4,
+            };
+            w.execute(7, &[start]);
+            w.end(&task, Why::Done);
+        }
+        assert!(relay.note(&w.report) && !relay.note(&w.report));
+        let mut told = 0;
+        for part in 0.. {
+            let record = relay.take("south", 2048);
+            if record.jobs.is_empty() {
+                break;
+            }
+            assert_eq!(record.sessions.is_empty(), part > 0);
+            assert!(serde_json::to_string(&record).unwrap().len() <= 2048);
+            let tasks = record.jobs.iter().flat_map(|j| &j.done);
+            told += tasks.map(|(_, n)| n).sum::<u32>();
+        }
+        assert_eq!(told, 300);
+    }
+}
--- /dev/null
+++ b/src/scenarios/order.rs
@@ -0,0 +1,279 @@
+//! What is placed first, and where.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::{gang, meet, returned, starts};
+use crate::config::Objective;
+use crate::fleet::{Role, SlotKey};
+use crate::lead::Lead;
+use crate::testing::{FakeStore, FakeWorker, job};
+use crate::wire::{Priority, Submission, Why};
+
+/// After a takeover machines that ran gangs once counted as shared ones and were drained, while
+/// other gangs waited.
+#[test]
+fn a_new_leader_keeps_machines_of_large_work_for_large_work() {
+    let mut store = FakeStore::default();
+    let mut large = gang("j-1", 1);
+    large.types = Some(vec!["small".into()]);
+    store.submit(&large);
+    let mut old = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut old, 1.0);
+    store.settle(&mut old, 2.0);
+    w.checkin(&mut old, 3.0);
+    store.submit(&job("j-2", 8));
+    let mut new = store.elect("n1", 10.0);
+    meet(&mut w, &mut new, 11.0);
+    new.tend(11.0);
+    store.settle(&mut new, 11.0);
+    // There is room for one small task beside the gang's, but not for it.
+    assert_eq!(starts(&w.checkin(&mut new, 12.0)), 0);
+    let m = new.fleet.machines.values().next().unwrap();
+    assert_eq!((m.role, m.draining), (Role::Large, false));
+}
+
+#[test]
+fn urgent_large_work_makes_room_when_no_machine_can_be_had() {
+    let mut store = FakeStore::default();
+    store.submit(&job("j-1", 4));
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    store.settle(&mut lead, 1.0);
+    w.checkin(&mut lead, 2.0);
+    w.checkin(&mut lead, 2.5);
+    assert_eq!(w.running().len(), 4);
+    let mut urgent = gang("j-2", 1);
+    urgent.priority = Priority::High;
+    urgent.types = Some(vec!["small".into()]);
+    store.submit(&urgent);
+    let view = store.view();
+    let id = "j-2".into();
+    lead.enter_job(&id, &view.jobs["j-2"], 3.0);
+    let mut now = 3.0;
+    while w.running() != ["j-2/0"] {
+        now += 1.0;
+        assert!(now < 20.0, "{:?}", w.running());
+        lead.tend(now);
+        returned(&mut lead, now);
+        store.settle(&mut lead, now);
+        w.checkin(&mut lead, now);
+    }
+    // What made way is not lost: it waits.
+    assert_eq!(lead.jobs[&lead.job_ix("j-1").unwrap()].pending(), 4);
+}
+
+#[test]
+fn work_that_can_be_in_time_goes_before_work_that_is_late() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let late = job("j-1", 1);
+    let fresh = job("j-2", 1);
+    store.submit(&late);
+    store.submit(&fresh);
+    let mut view = store.view();
+    for (id, seen) in [("j-1", 1.0), ("j-2", 90.0)] {
+        view.jobs.get_mut(id).unwrap().seen = Some(seen);
+        lead.enter_job(&id.into(), &view.jobs[id], 100.0);
+    }
+    let names = |lead: &Lead, now| -> Vec<String> {
+        let order = lead.order(now);
+        order
+            .iter()
+            .map(|ix| lead.jobs[ix].id.to_string())
+            .collect()
+    };
+    assert_eq!(names(&lead, 100.0), ["j-2", "j-1"]);
+    // Not for ever: late work becomes due again.
+    assert_eq!(names(&lead, 175.0), ["j-1", "j-2"]);
+}
+
+#[test]
+fn a_crowd_of_one_class_holds_back_that_class_only() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let mut w = FakeWorker::new("i-1", "small", "north");
+    meet(&mut w, &mut lead, 1.0);
+    for i in 0..200 {
+        let mut one = job(&format!("j-{i}"), 50);
+        one.class = "crowd".into();
+        store.submit(&one);
+    }
+    let mut other = job("j-900", 1);
+    other.priority = Priority::High;
+    store.submit(&other);
+    let view = store.view();
+    for (id, stored) in &view.jobs {
+        lead.enter_job(id, stored, 2.0);
+    }
+    store.settle(&mut lead, 2.0);
+    let commands = w.checkin(&mut lead, 2.5);
+    assert_eq!(starts(&commands), 4);
+    assert!(w.running().contains(&"j-900/0".to_string()));
+    // Nothing is bound beyond what machines have room for.
+    let bound: u32 = lead.jobs.values().map(|j| j.bound).sum();
+    assert_eq!(bound, 4);
+}
+
+/// Gangs that need most machines once waited behind smaller ones that took each as it came free.
+#[test]
+fn a_large_gang_is_not_starved_by_small_ones() {
+    let mut store = FakeStore::default();
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws: Vec<FakeWorker> = (0..4)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    let enter = |store: &mut FakeStore, lead: &mut Lead, spec: Submission, now: f64| {
+        store.submit(&spec);
+        let stored = store.view().jobs[spec.id.as_str()].clone();
+        lead.enter_job(&spec.id.as_str().into(), &stored, now);
+    };
+    let only = |spec: Submission| Submission {
+        types: Some(vec!["small".into()]),
+        ..spec
+    };
+    let mut now = 0.0;
+    let mut next = 0;
+    let mut whole = None;
+    while whole.is_none() {
+        now += 3.0;
+        assert!(now < 15.0 + 240.0, "the large gang starves");
+        // There is always a small gang waiting.
+        for _ in 0..2 {
+            next += 1;
+            enter(
+                &mut store,
+                &mut lead,
+                only(gang(&format!("j-{next}"), 1)),
+                now,
+            );
+        }
+        if next == 10 {
+            // At 15 s.
+            enter(&mut store, &mut lead, only(gang("j-5000", 4)), now);
+        }
+        lead.tend(now);
+        returned(&mut lead, now);
+        store.settle(&mut lead, now);
+        // Each runs for six rounds, and they end one after the other.
+        for (i, w) in ws.iter_mut().enumerate() {
+            if (now / 3.0) as usize % 6 == i {
+                for task in w.running().iter().filter(|t| !t.starts_with("j-5000")) {
+                    w.end(task, Why::Done);
+                }
+            }
+            w.checkin(&mut lead, now + 0.5);
+        }
+        let large = |w: &FakeWorker| w.running().iter().any(|t| t.starts_with("j-5000"));
+        whole = ws.iter().all(large).then_some(now);
+    }
+}
+
+fn order_of(lead: &Lead, now: f64) -> Vec<String> {
+    let order = lead.order(now);
+    let id = |ix| lead.jobs[ix].id.to_string();
+    order.iter().map(id).collect()
+}
+
+/// Objectives that go by a job's own deadline were skipped, and such jobs due at any time.
+#[test]
+fn a_job_is_due_by_its_own_deadline_and_small_ones_come_a_little_earlier() {
+    let mut store = FakeStore::default();
+    let deadline = |id, deadline_s| Submission {
+        class: "lists".into(),
+        team: "red".into(),
+        deadline_s,
+        ..job(id, 1)
+    };
+    store.submit(&deadline("j-1", None));
+    store.submit(&deadline("j-2", Some(200.0)));
+    store.submit(&deadline("j-3", Some(90.0)));
+    store.submit(&Submission {
+        tasks: 40,
+        ..deadline("j-4", Some(90.0))
+    });
+    let mut lead = store.elect("n0", 0.0);
+    let mut config = (*lead.config).clone();
+    config.deployment.objectives = [(1.0, 0.9), (1.5, 0.98)]
+        .map(|(times, share)| Objective {
+            kind: "deadline".into(),
+            class: Some("lists".into()),
+            within_s: None,
+            share: Some(share),
+            times: Some(times),
+        })
+        .into();
+    lead.config = Rc::new(config);
+    let mut w = FakeWorker::new("i-1", "big", "north");
+    meet(&mut w, &mut lead, 0.5);
+    // One without a deadline has nothing to be in time for; a large one is overtaken, but not by what
+    // is due more than a minute later.
+    assert_eq!(order_of(&lead, 1.0), ["j-1", "j-3", "j-4", "j-2"]);
+    // The first moment of j-3 has passed, the second has not.
+    assert_eq!(order_of(&lead, 80.0)[1], "j-3");
+}
+
+fn with_image(id: &str, tasks: u32, image: &str) -> Submission {
+    Submission {
+        image: image.into(),
+        image_gb: 8.0,
+        ..job(id, tasks)
+    }
+}
+
+/// The machines that tasks of a job are on.
+fn machines_of(lead: &Lead, id: &str) -> Vec<String> {
+    let ix = lead.job_ix(id).unwrap();
+    let on = |slots: &BTreeMap<SlotKey, _>| slots.keys().any(|k: &SlotKey| k.job == ix);
+    let machines = lead.fleet.machines.values().filter(|m| on(&m.slots));
+    machines.map(|m| m.name.to_string()).collect()
+}
+
+/// A job's tasks went to as many machines as there were, each fetched a dozen images at once, and
+/// most places on a full fleet held tasks that waited for theirs.
+#[test]
+fn tasks_go_where_their_image_is_or_comes_soon() {
+    let mut store = FakeStore::default();
+    store.submit(&with_image("j-1", 4, "img-a"));
+    let mut lead = store.elect("n0", 0.0);
+    let mut ws: Vec<FakeWorker> = (0..4)
+        .map(|i| FakeWorker::new(&format!("i-{i}"), "small", "north"))
+        .collect();
+    for w in &mut ws {
+        meet(w, &mut lead, 1.0);
+    }
+    store.settle(&mut lead, 1.0);
+    let first = machines_of(&lead, "j-1");
+    assert_eq!(first.len(), 1);
+    let run = |lead: &mut Lead, ws: &mut [FakeWorker], now: f64| {
+        for w in ws.iter_mut() {
+            w.checkin(lead, now);
+            w.checkin(lead, now);
+        }
+    };
+    // Another image goes elsewhere, not behind the one that is being fetched.
+    let enter = |store: &mut FakeStore, lead: &mut Lead, spec: Submission, now: f64| {
+        store.submit(&spec);
+        lead.enter_job(&spec.id.as_str().into(), &store.view().jobs[&*spec.id], now);
+        store.settle(lead, now);
+    };
+    enter(&mut store, &mut lead, with_image("j-2", 2, "img-b"), 2.0);
+    let second = machines_of(&lead, "j-2");
+    assert!(second.len() == 1 && second != first, "{second:?}");
+    run(&mut lead, &mut ws, 12.0);
+    // The machine that has the image comes before others that are as empty, and emptier.
+    enter(&mut store, &mut lead, with_image("j-3", 1, "img-b"), 12.5);
+    assert_eq!(machines_of(&lead, "j-3"), second);
+    // It is full but for two tasks; what finds no room waits a little rather than have the image
+    // fetched once more, and does not wait for long.
+    enter(&mut store, &mut lead, with_image("j-4", 3, "img-b"), 13.0);
+    lead.tend(13.0);
+    let waits = |lead: &Lead| lead.jobs[&lead.job_ix("j-4").unwrap()].pending();
+    assert!(waits(&lead) <= 2);
+    run(&mut lead, &mut ws, 22.0);
+    lead.tend(22.0);
+    store.settle(&mut lead, 22.0);
+    assert_eq!(waits(&lead), 0);
+}
