--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -17,7 +17,7 @@
 /// A sort of work: jobs of one class that may use the same machines.
 #[derive(Debug, Clone)]
 pub struct Class {
-    spec: Rc<Submission>,
+    pub(crate) spec: Rc<Submission>,
     /// What a task takes, on the mean.
     amount: Amount,
     /// Tasks of a job.
@@ -30,7 +30,7 @@
     run_s: f64,
     shares: [Mean; 3],
     /// Unfinished tasks now.
-    pending: f64,
+    pub(crate) pending: f64,
     bound: f64,
 }
 
@@ -209,22 +209,22 @@
 }
 
 /// A machine in the eyes of the sizing: there, coming, or to be rented.
-struct Unit {
-    ix: Option<MachineIx>,
+pub(crate) struct Unit {
+    pub(crate) ix: Option<MachineIx>,
     type_ix: usize,
     spot: bool,
     zone: Rc<str>,
     room: Amount,
     price: f64,
     used: f64,
-    up: bool,
+    pub(crate) up: bool,
     /// Large tasks, or small ones, are on it.
-    has_large: bool,
-    has_small: bool,
+    pub(crate) has_large: bool,
+    pub(crate) has_small: bool,
     /// The highest priority of what is on it.
     top: Option<Priority>,
     /// Meant for large work, once taken.
-    large: bool,
+    pub(crate) large: bool,
     taken: bool,
 }
 
@@ -956,47 +956,6 @@
         }
     }
 
-    /// Stops small tasks of lower priority where large work waits and no machine can be had.
-    fn make_room(&mut self, class: &Class, units: &[Unit], now: Time) {
-        let ready = units
-            .iter()
-            .filter(|u| u.large && u.up && !u.has_small && !u.has_large)
-            .count();
-        let wanted = class.pending as usize;
-        let clearing: Vec<MachineIx> = units
-            .iter()
-            .filter(|u| u.large && u.has_small)
-            .filter_map(|u| u.ix)
-            .take(wanted.saturating_sub(ready))
-            .collect();
-        let mut off = Vec::new();
-        for ix in clearing {
-            let jobs = &self.jobs;
-            let Some(m) = self.fleet.machines.get_mut(&ix) else {
-                continue;
-            };
-            let lower = |job: JobIx| jobs[&job].spec.priority < class.spec.priority;
-            if !m.slots.iter().all(|(k, s)| s.over || lower(k.job)) {
-                continue;
-            }
-            for (key, slot) in m.slots.iter_mut().filter(|(_, s)| !s.over) {
-                if slot.stop.is_some() {
-                    continue;
-                }
-                if slot.is_unsent() {
-                    off.push((ix, *key));
-                } else {
-                    slot.stop = Some(jobs[&key.job].spec.save_s);
-                    m.direct_wanted = true;
-                    self.fleet.calls.insert(ix);
-                }
-            }
-        }
-        for (ix, key) in off {
-            self.off(ix, key, now);
-        }
-    }
-
     /// How many machines of each pool there are.
     fn pool_counts(&self) -> BTreeMap<PoolKey, u32> {
         let mut counts = BTreeMap::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lead;
 pub mod node;
 pub mod picker;
+pub(crate) mod preempt;
 pub mod pricing;
 pub mod rt;
 pub mod runlog;
--- /dev/null
+++ b/src/preempt.rs
@@ -0,0 +1,51 @@
+//! Stopping work of lower priority so that other work finds room.
+//!
+//! Only large work needs it: small work takes what comes free as other small tasks end, in order.
+
+use crate::autoscale::{Class, Unit};
+use crate::book::{JobIx, MachineIx};
+use crate::lead::Lead;
+use crate::rt::Time;
+
+impl Lead {
+    /// Stops small tasks of lower priority where large work waits and no machine can be had.
+    pub(crate) fn make_room(&mut self, class: &Class, units: &[Unit], now: Time) {
+        let ready = units
+            .iter()
+            .filter(|u| u.large && u.up && !u.has_small && !u.has_large)
+            .count();
+        let wanted = class.pending as usize;
+        let clearing: Vec<MachineIx> = units
+            .iter()
+            .filter(|u| u.large && u.has_small)
+            .filter_map(|u| u.ix)
+            .take(wanted.saturating_sub(ready))
+            .collect();
+        let mut off = Vec::new();
+        for ix in clearing {
+            let jobs = &self.jobs;
+            let Some(m) = self.fleet.machines.get_mut(&ix) else {
+                continue;
+            };
+            let lower = |job: JobIx| jobs[&job].spec.priority < class.spec.priority;
+            if !m.slots.iter().all(|(k, s)| s.over || lower(k.job)) {
+                continue;
+            }
+            for (key, slot) in m.slots.iter_mut().filter(|(_, s)| !s.over) {
+                if slot.stop.is_some() {
+                    continue;
+                }
+                if slot.is_unsent() {
+                    off.push((ix, *key));
+                } else {
+                    slot.stop = Some(jobs[&key.job].spec.save_s);
+                    m.direct_wanted = true;
+                    self.fleet.calls.insert(ix);
+                }
+            }
+        }
+        for (ix, key) in off {
+            self.off(ix, key, now);
+        }
+    }
+}
