--- a/src/lead.rs
+++ b/src/lead.rs
@@ -399,6 +399,15 @@
         }
     }
 
+    /// All jobs are over, and their ends wait to be written.
+    #[cfg(test)]
+    pub(crate) fn end_all(&mut self) {
+        let all: Vec<JobIx> = self.jobs.keys().copied().collect();
+        for ix in all {
+            self.finish(ix);
+        }
+    }
+
     fn finish(&mut self, ix: JobIx) {
         if let Some(job) = self.jobs.get_mut(&ix) {
             job.ended = Some(End::Done);
--- a/src/node.rs
+++ b/src/node.rs
@@ -66,8 +66,8 @@
 /// After a round that took long the next one waits for so many times as long: a crowd must not keep
 /// reports and the lease's renewal waiting.
 const DUTY_REST: f64 = 1.0;
-/// How long a round goes on writing.
-const WRITES_S: f64 = 0.1;
+/// Transactions that a round sends.
+const WRITES_MAX: usize = 3;
 /// Interval in which the leader looks after machines, in report intervals, and the longest.
 const TEND_REPORTS: f64 = 0.15;
 const TEND_S_MAX: f64 = 0.5;
@@ -1132,11 +1132,10 @@
         }
     }
 
-    /// Writes what is due, for a moment: where jobs end all the time there is always something, and
-    /// for ten seconds nothing was placed once.
+    /// Writes what is due, a few transactions of it: where jobs end all the time there is always more,
+    /// and for ten seconds nothing was placed once.
     async fn write(&self, token: u64) {
-        let began = self.now();
-        while self.now() - began < WRITES_S {
+        for _ in 0..WRITES_MAX {
             let now = self.now();
             let Some(Some(txn)) = self.with_lead(token, |lead| lead.next_txn(now)) else {
                 return;
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -280,3 +280,46 @@
     .unwrap();
     assert!(finished.get());
 }
+
+/// Jobs that ended kept a round writing for as long as more of them came: for ten seconds nothing was
+/// placed.
+#[test]
+fn a_round_ends_however_much_there_is_to_write() {
+    let written = Rc::new(Cell::new(0));
+    let count = written.clone();
+    Rt::run::<calloop::Error>(move |rt| {
+        let mut listener = rt.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut config = crate::config::tests::sample();
+        config.services.state = listener.addr().unwrap();
+        let state = &mut config.deployment.state;
+        (state.rps, state.write_rps) = (1e6, 1e6);
+        let handler = Rc::new(move |_: Request| {
+            count.set(count.get() + 1);
+            Box::pin(async { answer(200, r#"{"Epoch":300}"#.into()) }) as _
+        });
+        let root = Scope::new(rt);
+        root.spawn(serve(rt.clone(), listener, LIMITS, handler));
+        let mut store = crate::testing::FakeStore::default();
+        for i in 0..200 {
+            store.submit(&job(&format!("j-{i}"), 1));
+        }
+        let mut lead = store.elect_with(config.clone(), "n0", rt.now());
+        lead.end_all();
+        let node = Rc::new(Node::new(rt, Rc::new(config)));
+        node.tenure.set(Some(Tenure {
+            token: lead.token,
+            lease: 1,
+            trusted_until: f64::INFINITY,
+        }));
+        let token = lead.token;
+        *node.lead.borrow_mut() = Some(lead);
+        let rt = rt.clone();
+        root.spawn(async move {
+            node.write(token).await;
+            rt.stop();
+        });
+        Ok(root)
+    })
+    .unwrap();
+    assert_eq!(written.get(), WRITES_MAX);
+}
