--- /dev/null
+++ b/src/autoscale/calls.rs
@@ -0,0 +1,189 @@
+//! Calls to the cloud, and what comes of them.
+
+use std::rc::Rc;
+
+use super::{
+    CloudAnswer, CloudCall, DELETE_MAX, LIST_LAGS, PoolKey, REFUSED_BOOTS, REFUSED_BOOTS_MAX,
+    TYPES_LEASES,
+};
+use crate::fleet::Role;
+use crate::lead::Lead;
+use crate::rt::Time;
+use crate::wire::{ListedMachine, MachineState, MachineType, Rent};
+
+impl Lead {
+    /// The next call to make, if one is due.
+    pub fn next_cloud_call(&mut self, now: Time) -> Option<CloudCall> {
+        let w = &self.config.deployment.workers;
+        let lag = self.config.deployment.cloud.list_lag_s;
+        if !self.cloud.deletes.is_empty() {
+            let names: Vec<String> = self
+                .cloud
+                .deletes
+                .iter()
+                .filter_map(|ix| self.fleet.machines.get(ix))
+                .map(|m| m.name.to_string())
+                .take(DELETE_MAX)
+                .collect();
+            if !names.is_empty() {
+                return Some(CloudCall::Delete(names));
+            }
+            self.cloud.deletes.clear();
+        }
+        if let Some((rent, role)) = self.cloud.rents.front() {
+            return Some(CloudCall::Rent(rent.clone(), *role));
+        }
+        if let Some(after) = &self.cloud.list_after {
+            return Some(CloudCall::List {
+                after: after.clone(),
+            });
+        }
+        if now >= self.cloud.list_at {
+            self.cloud.list_at = now + (lag * LIST_LAGS).max(w.report_s);
+            return Some(CloudCall::List {
+                after: String::new(),
+            });
+        }
+        if now >= self.cloud.types_at {
+            self.cloud.types_at = now + w.lease_s * TYPES_LEASES;
+            return Some(CloudCall::Types);
+        }
+        None
+    }
+
+    /// Takes in what came of a call.
+    pub fn on_cloud(&mut self, call: CloudCall, answer: CloudAnswer, now: Time) {
+        match (call, answer) {
+            // Prices change; the types themselves stay while a tenure lasts.
+            (CloudCall::Types, CloudAnswer::Types(types)) if self.same_types(&types) => {
+                self.types = Rc::new(types);
+            }
+            (CloudCall::List { .. }, CloudAnswer::List(machines, more)) => {
+                self.cloud.list_after = more
+                    .then(|| machines.last().map(|m| m.id.clone()))
+                    .flatten();
+                for listed in &machines {
+                    self.on_listed(listed, now);
+                }
+                if !more && !self.cloud.listed {
+                    self.cloud.listed = true;
+                    self.cloud.fresh = self.fleet.machines.is_empty();
+                }
+            }
+            (CloudCall::List { .. }, _) => self.cloud.list_after = None,
+            (CloudCall::Rent(rent, role), CloudAnswer::Rented(names)) => {
+                self.cloud.rents.pop_front();
+                self.on_rented(&rent, role, &names, now);
+            }
+            (CloudCall::Rent(rent, _), CloudAnswer::NoCapacity) => {
+                self.cloud.rents.pop_front();
+                self.refused(&rent, now);
+            }
+            (CloudCall::Delete(names), CloudAnswer::Deleted) => {
+                for name in names {
+                    if let Some(ix) = self.fleet.find(&name) {
+                        self.cloud.deletes.retain(|d| *d != ix);
+                        self.machine_gone(ix, now);
+                    }
+                    self.cloud.note_returned(name.into());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn same_types(&self, types: &[MachineType]) -> bool {
+        types.len() == self.types.len()
+            && types
+                .iter()
+                .zip(&*self.types)
+                .all(|(a, b)| a.name == b.name)
+    }
+
+    pub(super) fn pool_of(&self, rent: &Rent) -> Option<PoolKey> {
+        Some(PoolKey {
+            type_ix: self.type_by_name(&rent.type_name)?,
+            spot: rent.spot,
+            zone: rent.zone.as_str().into(),
+        })
+    }
+
+    /// A pool has no more to give now. Further requests to it are dropped: at some hundred machines
+    /// in requests of 50 they once kept the cloud's few calls from all other pools.
+    pub(super) fn refused(&mut self, rent: &Rent, now: Time) {
+        let Some(key) = self.pool_of(rent) else {
+            return;
+        };
+        self.cloud.rents.retain(|(queued, _)| {
+            (&queued.type_name, &queued.zone, queued.spot)
+                != (&rent.type_name, &rent.zone, rent.spot)
+        });
+        let boot_s = self.types[key.type_ix].boot_s;
+        let there = self.pool_counts().get(&key).copied().unwrap_or(0);
+        let pool = self.cloud.pools.entry(key).or_default();
+        pool.backoff_s = (pool.backoff_s * 2.0)
+            .max(boot_s * REFUSED_BOOTS)
+            .min(boot_s * REFUSED_BOOTS_MAX);
+        pool.refused_until = now + pool.backoff_s;
+        pool.limit = there;
+        self.cloud.sized_at = f64::NEG_INFINITY;
+    }
+
+    pub(super) fn on_rented(&mut self, rent: &Rent, role: Role, names: &[String], now: Time) {
+        let type_ix = self.type_by_name(&rent.type_name);
+        for name in names {
+            let known = self.fleet.find(name).is_some();
+            let ix = self.fleet.enter(name, &rent.zone, now);
+            let capacity = type_ix.map(|t| self.capacity_of(t)).unwrap_or_default();
+            if let Some(m) = self.fleet.machines.get_mut(&ix) {
+                if !known {
+                    m.type_ix = type_ix;
+                    m.capacity = capacity;
+                    m.spot = rent.spot;
+                    m.rented = now;
+                }
+                m.role = role;
+            }
+        }
+        if (names.len() as u32) < rent.count {
+            self.refused(rent, now);
+        } else if let Some(pool) = self
+            .pool_of(rent)
+            .and_then(|k| self.cloud.pools.get_mut(&k))
+        {
+            pool.backoff_s = 0.0;
+        }
+    }
+
+    pub(super) fn on_listed(&mut self, listed: &ListedMachine, now: Time) {
+        if self.cloud.is_returned(&listed.id) {
+            return;
+        }
+        let type_ix = self.type_by_name(&listed.type_name);
+        let capacity = type_ix.map(|t| self.capacity_of(t)).unwrap_or_default();
+        let ix = self.fleet.enter(&listed.id, &listed.zone, now);
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        m.addr = m.addr.or_else(|| listed.addr.parse().ok());
+        m.listed_at = Some(now);
+        if m.type_ix.is_none() {
+            m.type_ix = type_ix;
+            m.capacity = capacity;
+            m.spot = listed.spot;
+        }
+        // A machine that was first heard of by its own report was rented before that.
+        m.rented = m.rented.min(now - listed.age_s);
+        match listed.state {
+            MachineState::Booting => {}
+            MachineState::Running => {
+                m.listed_running.get_or_insert(now);
+                if m.heard.is_none() {
+                    m.direct_wanted = true;
+                    self.fleet.calls.insert(ix);
+                }
+            }
+            MachineState::Failed => self.give_back(ix, "failed"),
+        }
+    }
+}
--- /dev/null
+++ b/src/autoscale/letting_go.rs
@@ -0,0 +1,143 @@
+//! Machines that are lost or not needed any more.
+
+use super::{CHARGED_S, DISTRUST, HEARING_REPORTS, MOVE_ROOM, Unit};
+use crate::book::MachineIx;
+use crate::lead::Lead;
+use crate::rt::Time;
+
+impl Lead {
+    /// Machines that died, never came up, fail their tasks or are no longer heard of.
+    pub(super) fn find_lost(&mut self, now: Time) {
+        let w = &self.config.deployment.workers;
+        let t = &self.config.tunables;
+        let silent_s = w.report_s * t.silent_reports;
+        let up = || {
+            let machines = self.fleet.machines.values();
+            machines.filter(|m| m.is_up() && !self.is_cut_off(m))
+        };
+        let heard = up()
+            .filter(|m| {
+                m.last_word()
+                    .is_some_and(|h| self.silent_s(h, now) < silent_s)
+            })
+            .count();
+        // When hardly anybody is heard any more, it is rather this node that is cut off: then
+        // only the workers' leases tell.
+        let trusted = heard * 2 >= up().count()
+            && (heard < 2 || now - self.last_report < w.report_s * HEARING_REPORTS);
+        let mute = self.is_mute();
+        let mut lost = Vec::new();
+        for (ix, m) in &self.fleet.machines {
+            if m.leaving {
+                continue;
+            }
+            let boot_s = m.type_ix.map_or(w.lease_s, |t| self.types[t].boot_s);
+            let gone = if m.suspect {
+                m.slots
+                    .values()
+                    .all(|s| s.over || s.running_since.is_none())
+                    || now - m.cool_until > w.lease_s
+            } else if m.is_haunted(now, silent_s) {
+                true
+            } else if let Some(since) = m.deaf_since {
+                // What is on it ends with its worker's lease: nothing renews that.
+                trusted && !mute && self.silent_s(since, now) > silent_s
+            } else if self.is_cut_off(m) && m.only_stopped() {
+                // What is left there of gangs that have broken holds all of them up.
+                trusted
+            } else if m.is_up() {
+                // For ever it can't be this node: once most of a fleet had died at once, and what was
+                // left was never trusted again, nor the others replaced.
+                let last = m.last_word().unwrap_or(self.began);
+                let long = heard > 0 && self.silent_s(last, now) > self.off_after_s * DISTRUST;
+                (trusted || long) && self.is_silent(m, now)
+            } else if let Some(up_at) = m.listed_running {
+                trusted && self.silent_s(up_at.max(self.began), now) > silent_s
+            } else if m.listed_at.is_some() || m.type_ix.is_some() {
+                now - m.rented > boot_s * t.lost_boots
+            } else {
+                // Known only from a former leader's notes.
+                trusted && self.silent_s(self.began, now) > silent_s
+            };
+            if gone {
+                lost.push(*ix);
+            }
+        }
+        for ix in lost {
+            self.give_back(ix, "lost");
+        }
+        if trusted {
+            self.watch_zones(now);
+        }
+    }
+
+    pub(super) fn give_back(&mut self, ix: MachineIx, why: &str) {
+        if let Some(m) = self.fleet.machines.get_mut(&ix)
+            && !m.leaving
+        {
+            tracing::info!("returning {}: {why}", m.name);
+            m.leaving = true;
+            self.cloud.deletes.push(ix);
+        }
+    }
+
+    /// Drains and returns machines that have not been needed for a while.
+    pub(super) fn let_go(&mut self, units: &[Unit], now: Time) {
+        let idle_ratio = self.config.tunables.idle_ratio;
+        let mut back = Vec::new();
+        let mut moves = Vec::new();
+        // What is free on machines that stay.
+        let stay = units.iter().filter(|u| u.taken && u.up && !u.large);
+        let mut free = stay
+            .filter_map(|u| self.fleet.machines.get(&u.ix?))
+            .map(|m| (m.capacity.cpus - m.used.cpus).max(0.0))
+            .sum::<f64>()
+            * MOVE_ROOM;
+        for unit in units {
+            let Some(ix) = unit.ix else { continue };
+            let Some(m) = self.fleet.machines.get_mut(&ix) else {
+                continue;
+            };
+            if unit.taken {
+                m.surplus_since = None;
+                continue;
+            }
+            let since = *m.surplus_since.get_or_insert(now);
+            if !m.is_up() || now - since < self.types[unit.type_ix].boot_s * idle_ratio {
+                continue;
+            }
+            let paid = now - m.rented > CHARGED_S * 0.95;
+            if m.is_empty() {
+                if paid && m.slots.is_empty() {
+                    back.push(ix);
+                }
+            } else {
+                // Nothing new goes there, so that it can be returned.
+                m.draining = true;
+                if paid && m.used.cpus <= free && m.all_saves(&self.jobs) {
+                    free -= m.used.cpus;
+                    moves.push(ix);
+                }
+            }
+        }
+        for ix in moves {
+            self.move_off(ix);
+        }
+        for ix in back {
+            self.give_back(ix, "not needed");
+        }
+    }
+
+    /// Lets what runs on a machine save, to go on elsewhere. At the end of a day a single long task
+    /// on each of a hundred machines once held them all for minutes.
+    pub(super) fn move_off(&mut self, ix: MachineIx) {
+        let Some(m) = self.fleet.machines.get_mut(&ix) else {
+            return;
+        };
+        for (key, slot) in m.slots.iter_mut().filter(|(_, s)| !s.over) {
+            slot.stop.get_or_insert(self.jobs[&key.job].spec.save_s);
+        }
+        m.direct_wanted = true;
+        self.fleet.calls.insert(ix);
+    }
+}
--- /dev/null
+++ b/src/autoscale/wanted.rs
@@ -0,0 +1,236 @@
+//! How much of which sort of work there should be machines for.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::{
+    BACKLOG_BOOTS, BACKLOG_SHARE, CHEAP, Class, DEADLINE_SLACK_MIN, KEEP_SHARE, OVERLOOKED,
+    OVERLOOKED_MAX, Pool, PoolKey, QUEUE_SHARE, TIGHT_BOOTS, TURNOVER_SHARE, Unit, WAIT_SHARE,
+    Want, tasks_that_fit,
+};
+use crate::book::Job;
+use crate::expect::class_name;
+use crate::lead::Lead;
+use crate::rt::Time;
+use crate::scheduler::BEGIN_S;
+use crate::wire::Submission;
+
+impl Lead {
+    /// How soon tasks of a class should start.
+    pub(crate) fn tightest_wait(&self, spec: &Submission) -> f64 {
+        let team_has_guarantee = self
+            .config
+            .team(&spec.team)
+            .is_some_and(|t| t.cpus > 0.0 || t.gpus > 0.0);
+        self.config
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(&spec.class),
+                "guarantee" => team_has_guarantee,
+                _ => false,
+            })
+            .filter_map(|o| o.within_s)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Within what time jobs of a class should be done. A deadline grows with the run time: only
+    /// what it leaves beyond that is for waiting.
+    pub(super) fn tightest_finish(&self, class: &Class) -> Option<f64> {
+        let run_s = class.run_s();
+        let mut usual = (*class.spec).clone();
+        usual.deadline_s = class.deadline_s.get().or(usual.deadline_s);
+        let objectives = &self.config.deployment.objectives;
+        objectives
+            .iter()
+            .filter_map(|o| {
+                let within = o.done_within(&usual)?;
+                Some(match o.kind.as_str() {
+                    "deadline" => (within - run_s).max(run_s * DEADLINE_SLACK_MIN),
+                    _ => within,
+                })
+            })
+            .min_by(f64::total_cmp)
+    }
+
+    /// For how many tasks of a class at once there should be machines.
+    pub(super) fn want(&self, class: &Class, now: Time) -> Want {
+        let spec = &class.spec;
+        let boot_s = self
+            .kinds(spec)
+            .iter()
+            .map(|(t, _)| self.types[*t].boot_s)
+            .fold(f64::INFINITY, f64::min);
+        let wait = self.tightest_wait(spec);
+        let finish = self.tightest_finish(class);
+        let run_s = class.run_s();
+        let needed = class.bound + class.pending;
+        let name = class_name(spec);
+        let expected = self.expected.borrow();
+        let rate = expected.rate(&name, now) * class.job_tasks();
+        let mut level = rate * run_s;
+        if expected.is_young(now) {
+            // After all controllers crashed little is known: what runs tells what came.
+            level = level.max(class.bound);
+        }
+        let tight = wait < boot_s * TIGHT_BOOTS;
+        // What waits is to be worked off in good time.
+        let within = if tight { f64::INFINITY } else { wait }.min(finish.unwrap_or(f64::INFINITY));
+        let horizon = if within.is_finite() {
+            within * BACKLOG_SHARE
+        } else {
+            boot_s * BACKLOG_BOOTS
+        };
+        // The level covers what comes meanwhile. Work may wait a little: only what would wait for
+        // longer asks for more, and not for as much as would be idle a moment later.
+        let flow = level.max(class.bound) / run_s;
+        let enough = |waits: f64, within: f64| {
+            let late = (waits - flow * horizon * QUEUE_SHARE).max(0.0);
+            level + late * run_s / within
+        };
+        // What is there stays while much waits; what is rented finds what will wait by then.
+        let comes = expected.recent(&name, now) * class.job_tasks();
+        let found = class.pending + (comes - class.bound / run_s) * boot_s;
+        let mut rent = enough(found, horizon);
+        let mut lean = enough(class.pending, horizon * KEEP_SHARE).max(rent);
+        if self.is_large_class(class) && wait.is_finite() {
+            lean = self.large_lean(class, wait, now);
+            rent = lean;
+        }
+        let mut full = needed.max(level);
+        if tight && !self.turns_over(class, wait) {
+            // Nothing rented now would be up in time: machines must be there before the work.
+            let ratio = self.config.tunables.spare_ratio;
+            if run_s >= boot_s {
+                // Beyond what is usual, machines that come free are enough of a reserve.
+                let usual = level + (level * class.job_tasks()).sqrt();
+                full = needed.max((needed + ratio * rate * boot_s).min(usual));
+                lean = full;
+                rent = full;
+            } else {
+                full = full.max(level + ratio * (level * class.job_tasks()).sqrt());
+            }
+        }
+        // Never nothing: what waits must run some time, however little it is. And never more than
+        // there is: at a start all of a crowd once asked for three times as much.
+        let bounded = |tasks: f64| tasks.min(full).round().max(needed.min(1.0));
+        Want {
+            full: full.ceil(),
+            lean: bounded(lean),
+            rent: bounded(rent),
+        }
+    }
+
+    /// Whether small tasks end so often that a job of a class finds places in time on machines
+    /// that are all in use: what it waits for at most is the work before it in the order.
+    pub(super) fn turns_over(&self, class: &Class, wait: f64) -> bool {
+        if self.is_large_class(class) {
+            return false;
+        }
+        let small = self.classes.values().filter(|c| !self.is_large_class(c));
+        let ends: f64 = small.map(|c| c.bound * c.amount.cpus / c.run_s()).sum();
+        ends * wait * TURNOVER_SHARE >= class.job_tasks() * class.amount.cpus
+    }
+
+    /// How many large tasks need machines even if those are dear: what cheap ones can't start in
+    /// time, one after the other.
+    pub(super) fn large_lean(&self, class: &Class, wait: f64, now: Time) -> f64 {
+        let name = class_name(&class.spec);
+        let cheapest = self.cheapest(&class.spec);
+        let cheap = self
+            .fleet
+            .machines
+            .values()
+            .filter(|m| !m.leaving && !m.suspect && m.notice.is_none())
+            .filter(|m| {
+                m.type_ix.is_some_and(|t| {
+                    let per_machine = tasks_that_fit(class.amount, self.capacity_of(t));
+                    per_machine >= 1.0 && self.unit_price(t, m.spot) <= cheapest * CHEAP
+                })
+            })
+            .count() as f64;
+        let oldest = self
+            .active
+            .iter()
+            .map(|ix| &self.jobs[ix])
+            .filter(|j| *j.class == name)
+            .map(|j| now - j.since)
+            .filter(|age| *age < wait)
+            .fold(0.0, f64::max);
+        let left = (wait * WAIT_SHARE - oldest).max(0.0);
+        let in_time = (cheap * left / class.run_s()).floor();
+        // Cheap machines come first in any case; dear ones are for what is beyond them.
+        let late = (class.pending - in_time).max(0.0);
+        if late > 0.0 { class.bound + late } else { 0.0 }
+    }
+
+    /// Jobs that the means of their class tell nothing of, and that have waited for long: tasks
+    /// larger than usual, or a gang for a single zone where the class has several. By the mean
+    /// there was room for them all the time, and one once waited for ever.
+    pub(super) fn overlooked(&self, units: &[Unit], now: Time) -> Vec<(Rc<str>, Class)> {
+        let waits = |job: &&Job| {
+            let begun = job.bound + job.done > 0;
+            !begun && job.not_before <= now && now - job.since > BEGIN_S * OVERLOOKED
+        };
+        let jobs = self.active.iter().map(|ix| &self.jobs[ix]).filter(waits);
+        let mut found: Vec<(Rc<str>, Class)> = jobs
+            .filter_map(|job| {
+                let class = self.classes.get(&*job.class)?;
+                let zone = self.zone_for(job, units, now);
+                let usual = job.amount().fits(class.amount);
+                (!usual || zone.is_some()).then(|| {
+                    let mut spec = (*job.spec).clone();
+                    spec.zone = zone.or(spec.zone);
+                    let own = Class {
+                        spec: Rc::new(spec),
+                        amount: job.amount(),
+                        pending: f64::from(job.pending()),
+                        bound: 0.0,
+                        ..class.clone()
+                    };
+                    (job.class.clone(), own)
+                })
+            })
+            .take(OVERLOOKED_MAX)
+            .collect();
+        // Those that take most choose first.
+        found.sort_by(|a, b| b.1.amount.cpus.total_cmp(&a.1.amount.cpus));
+        found
+    }
+
+    /// In which of several zones there is or may be most room for a gang that must be in one.
+    pub(super) fn zone_for(&self, job: &Job, units: &[Unit], now: Time) -> Option<String> {
+        let spec = &job.spec;
+        if !job.is_gang() || !spec.one_zone || spec.zone.is_some() {
+            return None;
+        }
+        let kinds = self.kinds(spec);
+        let mut zones: BTreeMap<&str, f64> = BTreeMap::new();
+        for (type_ix, spot) in &kinds {
+            for zone in &self.types[*type_ix].zones {
+                let pool = PoolKey {
+                    type_ix: *type_ix,
+                    spot: *spot,
+                    zone: zone.as_str().into(),
+                };
+                let refuses = |p: &Pool| p.refused_until > now || p.backoff_s > 0.0;
+                let open = !self.cloud.pools.get(&pool).is_some_and(refuses);
+                *zones.entry(zone).or_default() += f64::from(u8::from(open)) * 0.5;
+            }
+        }
+        for unit in units
+            .iter()
+            .filter(|u| kinds.contains(&(u.type_ix, u.spot)))
+        {
+            if let Some(room) = zones.get_mut(&*unit.zone) {
+                *room += tasks_that_fit(job.amount(), self.capacity_of(unit.type_ix));
+            }
+        }
+        if zones.len() < 2 {
+            return None;
+        }
+        let most = zones.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
+        most.map(|(zone, _)| zone.to_owned())
+    }
+}
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,255 @@
+//! Following the store, and reading no older than asked.
+
+use std::rc::Rc;
+
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use rand::RngExt;
+use serde_json::value::to_raw_value;
+
+use super::{
+    DEAF_MACHINES, DEAF_REPORTS, DEAF_S_MAX, FOLLOW_GAP_S, FOLLOW_STALE_S, Node, POLL_S, POLLS_MAX,
+    STATE_PAUSE_S, WATCH_S,
+};
+use crate::autoscale::{CloudAnswer, CloudCall};
+use crate::store::Followed;
+use crate::view::{self, View, key};
+use crate::wire::{self, Condition, Txn};
+
+impl Node {
+    /// Waits until the view shows all that was in the store when this call began.
+    pub(super) async fn barrier(&self) -> bool {
+        if self.barrier_queue.borrow().len() >= POLLS_MAX {
+            return false;
+        }
+        let began = self.now();
+        let (tell, told) = oneshot::channel();
+        self.barrier_queue.borrow_mut().push(tell);
+        self.barrier_work.set();
+        let passed = matches!(self.rt.timeout(POLL_S, told).await, Ok(Ok(true)));
+        // A word that came before this node stood still is too old for an answer sent after that.
+        passed && self.now() - began <= POLL_S
+    }
+
+    pub(super) async fn barrier_duty(self: Rc<Self>) {
+        loop {
+            self.barrier_work.take().await;
+            let waiting = self.barrier_queue.take();
+            let passed = match self.store.revision(&key::nothing()).await {
+                Ok(revision) => {
+                    self.heard_state();
+                    self.reach(revision).await
+                }
+                Err(e) => {
+                    tracing::debug!("read barrier: {e}");
+                    false
+                }
+            };
+            for tell in waiting {
+                let _ = tell.send(passed);
+            }
+        }
+    }
+
+    /// Waits until the view has reached a revision.
+    pub(super) async fn reach(&self, revision: u64) -> bool {
+        let deadline = self.now() + POLL_S;
+        loop {
+            if self.loaded.get() && self.view.borrow().revision >= revision {
+                return true;
+            }
+            let now = self.now();
+            if now >= deadline {
+                return false;
+            }
+            let next = self.moved.next();
+            self.hurry.set();
+            if self
+                .rt
+                .timeout(FOLLOW_STALE_S.min(deadline - now), next)
+                .await
+                .is_err()
+            {
+                // The watch may hang at a cut without an error.
+                self.rewatch.set();
+            }
+        }
+    }
+
+    pub(super) async fn follow_duty(self: Rc<Self>) {
+        loop {
+            if let Err(e) = self.load().await {
+                tracing::debug!("loading: {e}");
+                self.rt.sleep(STATE_PAUSE_S * 2.0).await;
+                continue;
+            }
+            self.follow().await;
+            self.loaded.set(false);
+        }
+    }
+
+    pub(super) async fn load(&self) -> Result<(), crate::store::StoreError> {
+        let mut fresh = View::default();
+        let mut after = String::new();
+        let mut first = None;
+        loop {
+            let page = self.store.list(key::ROOT, &after).await?;
+            self.heard_state();
+            first.get_or_insert(page.revision);
+            for item in &page.items {
+                fresh.apply(&item.key, Some(&item.value), item.version);
+            }
+            match page.items.last() {
+                Some(last) if page.more => after = last.key.clone(),
+                _ => break,
+            }
+        }
+        // What changed between the pages comes with the watch that begins at the first.
+        fresh.revision = first.unwrap_or(0);
+        fresh.drop_stale();
+        *self.view.borrow_mut() = fresh;
+        self.loaded.set(true);
+        self.resync();
+        self.leader_moved.set();
+        self.moved.beat();
+        Ok(())
+    }
+
+    /// After a reload the leader looks at everything once more.
+    pub(super) fn resync(&self) {
+        let now = self.now();
+        let view = self.view.borrow();
+        if let Some(lead) = self.lead.borrow_mut().as_mut() {
+            for (id, job) in &view.jobs {
+                if job.end.is_none() {
+                    lead.enter_job(id, job, now);
+                }
+                if let Some(end) = &job.end {
+                    lead.on_end(id, end, now);
+                }
+            }
+        }
+        self.work.set();
+    }
+
+    pub(super) async fn follow(&self) {
+        loop {
+            let after = self.view.borrow().revision;
+            self.rewatch.clear();
+            let followed = {
+                let watch = std::pin::pin!(self.store.follow(key::ROOT, after, WATCH_S));
+                match select(watch, self.rewatch.raised()).await {
+                    Either::Left((followed, _)) => followed,
+                    Either::Right(_) => continue,
+                }
+            };
+            match followed {
+                Ok(Followed::Events(events)) => {
+                    self.heard_state();
+                    self.take_events(&events);
+                    // A short gap groups the changes, unless somebody waits for them.
+                    let gap = self.rt.sleep(FOLLOW_GAP_S);
+                    select(gap, self.hurry.raised()).await;
+                    self.hurry.clear();
+                }
+                Ok(Followed::TooOld) => return,
+                Err(e) => {
+                    tracing::debug!("following: {e}");
+                    self.rt.sleep(STATE_PAUSE_S).await;
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_events(&self, events: &wire::Events) {
+        let now = self.now();
+        let mut view = self.view.borrow_mut();
+        let mut lead = self.lead.borrow_mut();
+        for event in &events.events {
+            let (key, value) = match (&event.put, &event.delete) {
+                (Some(key), _) => (key, event.value.as_deref()),
+                (None, Some(key)) => (key, None),
+                (None, None) => continue,
+            };
+            match view.apply(key, value, event.version) {
+                Some(view::Change::Job(id)) => {
+                    if let Some(job) = view.jobs.get_mut(&id)
+                        && let Some(spec) = &job.spec
+                    {
+                        self.expected.borrow_mut().note(spec, now);
+                        job.seen.get_or_insert(now);
+                    }
+                    if let Some(lead) = lead.as_mut()
+                        && let Some(job) = view.jobs.get(&id)
+                        && job.end.is_none()
+                    {
+                        lead.enter_job(&id, job, now);
+                        self.work.set();
+                    }
+                }
+                Some(view::Change::End(id)) => {
+                    if let Some(lead) = lead.as_mut()
+                        && let Some(end) = view.jobs.get(&id).and_then(|j| j.end)
+                    {
+                        lead.on_end(&id, &end, now);
+                        self.work.set();
+                    }
+                }
+                Some(view::Change::Leader) => self.leader_moved.set(),
+                Some(view::Change::Plea(plea)) => {
+                    let deaf_s = self.config.deployment.workers.report_s * DEAF_REPORTS;
+                    if let Some(lead) = lead.as_mut()
+                        && lead.token == plea.token
+                    {
+                        let many = lead.fleet.machines.len() >= DEAF_MACHINES;
+                        let deaf_s = if many { deaf_s.min(DEAF_S_MAX) } else { deaf_s };
+                        if now - lead.last_report > deaf_s {
+                            self.resign.set();
+                        }
+                    }
+                }
+                Some(view::Change::Relay(record)) => {
+                    if let Some(lead) = lead.as_mut() {
+                        lead.on_relay(&record, now);
+                        self.work.set();
+                    }
+                }
+                Some(view::Change::Types) | None => {}
+            }
+        }
+        view.revision = view.revision.max(events.revision);
+        self.moved.beat();
+    }
+
+    /// Until the machine types are known, nothing can be decided.
+    pub(super) async fn types_duty(self: Rc<Self>) {
+        let pause = self.config.deployment.workers.report_s * 0.25;
+        loop {
+            let spread = rand::rng().random_range(0.1..1.0);
+            self.rt.sleep(pause * spread).await;
+            if !self.loaded.get() {
+                continue;
+            }
+            if self.view.borrow().types.is_some() {
+                return;
+            }
+            if let CloudAnswer::Types(types) = self.call_cloud(&CloudCall::Types).await
+                && let Ok(value) = to_raw_value(&types)
+            {
+                let txn = Txn {
+                    conditions: vec![Condition {
+                        key: key::types(),
+                        version: 0,
+                    }],
+                    changes: vec![wire::Change::Put {
+                        key: key::types(),
+                        value,
+                        lease: None,
+                    }],
+                };
+                self.user_write(&txn).await;
+                self.barrier().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/leading.rs
@@ -0,0 +1,319 @@
+//! Holding office: election, the leader's rounds, direct messages.
+
+use std::rc::Rc;
+
+use futures_util::future::{Either, select};
+use rand::RngExt;
+
+use super::{
+    DIRECT_REPORTS, DIRECT_S_MAX, DIRECT_S_MIN, DUTY_GAP_S, DUTY_REST, Node, OUTSIDE_BODY_MAX,
+    RENEWALS, STAND_ASIDE, STAND_BACK_LIVES, STATE_PAUSE_S, TEND_REPORTS, TEND_S_MAX, WRITES_MAX,
+    directs_max,
+};
+use crate::cluster::WorkerSeen;
+use crate::election::{self, Kept, Tenure};
+use crate::fleet::{DirectMessage, DirectOutcome};
+use crate::http::{CallError, Client};
+use crate::lead::{AfterTxn, Lead, TxnOutcome};
+use crate::rt::Scope;
+use crate::wire::{Direct, path};
+
+impl Node {
+    pub(super) async fn election_duty(self: Rc<Self>) {
+        let life = self.config.leader_life_s();
+        loop {
+            election::depose_older_self(&self.store, &self.config, self.incarnation).await;
+            if self.loaded.get() {
+                break;
+            }
+            self.rt.sleep(STATE_PAUSE_S).await;
+        }
+        let mut stand_at = self.now();
+        let patience = if election::prefers_others(&self.config) {
+            life * STAND_ASIDE
+        } else {
+            0.0
+        };
+        let mut vacant_since = None;
+        loop {
+            self.leader_moved.clear();
+            if self.older_self_leads() {
+                election::depose_older_self(&self.store, &self.config, self.incarnation).await;
+            }
+            let vacant = self.loaded.get() && self.view.borrow().leader.is_none();
+            let able = self.view.borrow().types.is_some();
+            let since = *vacant_since.get_or_insert(self.now());
+            if !(vacant && able) {
+                vacant_since = None;
+            }
+            if vacant && able && self.now() >= stand_at.max(since + patience) {
+                let stood =
+                    election::stand(&self.rt, &self.store, &self.config, self.incarnation).await;
+                if let Some(tenure) = stood {
+                    self.lead_on(tenure).await;
+                    if self.resigned.take() {
+                        stand_at = self.now() + life * STAND_BACK_LIVES;
+                    }
+                }
+            }
+            let pause = life * 0.1 * rand::rng().random_range(0.5..1.5);
+            let moved = std::pin::pin!(self.leader_moved.raised());
+            select(moved, self.rt.sleep(pause)).await;
+        }
+    }
+
+    /// Whether a former process of this host is shown as the leader: one that ended in the middle of
+    /// an election, and whose request was carried out after that. Nobody leads then.
+    pub(super) fn older_self_leads(&self) -> bool {
+        let view = self.view.borrow();
+        let leader = view.leader.as_ref();
+        leader.is_some_and(|(r, _)| r.host == self.config.node && r.incarnation != self.incarnation)
+    }
+
+    /// Holds the office until it is lost or given up.
+    pub(super) async fn lead_on(&self, mut tenure: Tenure) {
+        tracing::info!("{} leads with token {}", self.config.node, tenure.token);
+        self.tenure.set(Some(tenure));
+        self.resign.clear();
+        let mut begun = false;
+        let every = self.config.leader_life_s() / RENEWALS;
+        loop {
+            if !begun && self.reach(tenure.token).await {
+                begun = self.begin(tenure.token);
+            }
+            let resign = std::pin::pin!(self.resign.raised());
+            if let Either::Left(_) = select(resign, self.rt.sleep(every)).await {
+                tracing::info!("{} gives up the lead", self.config.node);
+                self.step_down();
+                self.resigned.set(true);
+                let _ = self.store.end_lease(tenure.lease).await;
+                return;
+            }
+            match election::keep(&self.rt, &self.store, &self.config, &mut tenure).await {
+                Kept::Yes => {
+                    self.heard_state();
+                    let now = self.now();
+                    // While the lease was not trusted no report could be answered: the silence
+                    // of the workers was this node's own doing.
+                    if self.acting().is_none()
+                        && let Some(lead) = self.lead.borrow_mut().as_mut()
+                    {
+                        lead.last_report = now;
+                    }
+                    self.tenure.set(Some(tenure));
+                }
+                Kept::Unsure => {}
+                Kept::No => {
+                    tracing::info!("{} no longer leads", self.config.node);
+                    self.step_down();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Builds the leader's state from the view.
+    pub(super) fn begin(&self, token: u64) -> bool {
+        let now = self.now();
+        let view = self.view.borrow();
+        let Some(types) = view.types.clone() else {
+            return false;
+        };
+        let mut lead = Lead::begin(
+            self.config.clone(),
+            token,
+            types,
+            &view,
+            self.expected.clone(),
+            now,
+        );
+        let within = self.config.deployment.workers.lease_s;
+        let mut known: Vec<WorkerSeen> = self.peers.workers(now, within);
+        known.extend(
+            self.seen
+                .borrow()
+                .values()
+                .filter(|s| now - s.at < within)
+                .map(|s| s.worker.clone()),
+        );
+        for worker in known {
+            lead.call_on(
+                &worker.machine,
+                &worker.zone,
+                &worker.addr,
+                worker.session,
+                now,
+            );
+        }
+        *self.lead.borrow_mut() = Some(lead);
+        self.work.set();
+        self.cloud_work.set();
+        true
+    }
+
+    pub(super) fn step_down(&self) {
+        self.tenure.set(None);
+        *self.lead.borrow_mut() = None;
+    }
+
+    /// Runs `f` on the leader's state, if this node may act under `token` right now.
+    pub(super) fn with_lead<T>(&self, token: u64, f: impl FnOnce(&mut Lead) -> T) -> Option<T> {
+        if self.acting() != Some(token) {
+            return None;
+        }
+        let mut lead = self.lead.borrow_mut();
+        lead.as_mut().filter(|l| l.token == token).map(f)
+    }
+
+    /// The leader's round: look after machines, place, write, tell workers.
+    pub(super) async fn leader_duty(self: Rc<Self>) {
+        let tick = (self.config.deployment.workers.report_s * TEND_REPORTS).min(TEND_S_MAX);
+        let directs = Rc::new(Scope::new(&self.rt));
+        let mut tended_at = f64::NEG_INFINITY;
+        let mut took_s: f64 = 0.0;
+        loop {
+            let now = self.now();
+            let due = self
+                .lead
+                .borrow()
+                .as_ref()
+                .and_then(Lead::next_write_at)
+                .map_or(tick, |at| (at - now).clamp(DUTY_GAP_S, tick));
+            {
+                let work = std::pin::pin!(self.work.take());
+                select(work, self.rt.sleep(due)).await;
+            }
+            self.rt.sleep(DUTY_GAP_S.max(took_s * DUTY_REST)).await;
+            let Some(token) = self.acting() else {
+                continue;
+            };
+            let now = self.now();
+            let pause = self.rt.pause();
+            let begun = self.with_lead(token, |lead| {
+                lead.note_pause(pause);
+                let tending = now - tended_at >= tick;
+                if tending {
+                    lead.tend(now);
+                }
+                lead.plan(now);
+                tending && lead.is_mute()
+            });
+            took_s = self.now() - now;
+            match begun {
+                None => continue,
+                Some(false) => {}
+                Some(true) => {
+                    tracing::warn!("the workers don't hear this leader");
+                    self.resign.set();
+                }
+            }
+            if now - tended_at >= tick {
+                tended_at = now;
+                self.cloud_work.set();
+            }
+            self.send_directs(token, &directs);
+            self.write(token).await;
+            self.round.beat();
+        }
+    }
+
+    /// Writes what is due, a few transactions of it: where jobs end all the time there is always more,
+    /// and for ten seconds nothing was placed once.
+    pub(super) async fn write(&self, token: u64) {
+        for _ in 0..WRITES_MAX {
+            let now = self.now();
+            let Some(Some(txn)) = self.with_lead(token, |lead| lead.next_txn(now)) else {
+                return;
+            };
+            let outcome = self.store.txn(&txn).await;
+            if matches!(outcome, TxnOutcome::Applied(_) | TxnOutcome::Conflict(_)) {
+                self.heard_state();
+            }
+            let now = self.now();
+            let next = {
+                let mut lead = self.lead.borrow_mut();
+                match lead.as_mut().filter(|l| l.token == token) {
+                    Some(lead) => lead.txn_done(outcome, now),
+                    None => return,
+                }
+            };
+            match next {
+                AfterTxn::Go => {}
+                AfterTxn::Again => {
+                    self.rt.sleep(STATE_PAUSE_S).await;
+                    return;
+                }
+                AfterTxn::ReadBack(key) => {
+                    if let Ok(found) = self.store.get(&key).await {
+                        let revision = found.map_or(0, |f| f.version);
+                        let now = self.now();
+                        self.with_lead(token, |lead| lead.read_back(revision, now));
+                    }
+                }
+                AfterTxn::Lost => {
+                    tracing::warn!("a write of token {token} was refused: stepping down");
+                    self.resign.set();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Direct messages: to fence off a former leader, and to stop tasks without delay.
+    pub(super) fn send_directs(self: &Rc<Self>, token: u64, scope: &Rc<Scope>) {
+        let now = self.now();
+        let gap = self.config.deployment.workers.report_s * DIRECT_REPORTS;
+        let most = directs_max(&self.config);
+        let wanted = self
+            .with_lead(token, |lead| {
+                lead.directs(now, gap, most.saturating_sub(scope.live()))
+            })
+            .unwrap_or_default();
+        let limit_s = gap.clamp(DIRECT_S_MIN, DIRECT_S_MAX);
+        for message in wanted {
+            let node = self.clone();
+            scope.spawn(async move {
+                let machine = message.machine;
+                let outcome = node.send_direct(token, message, limit_s).await;
+                let now = node.now();
+                // What became of it is noted even if the lease is not trusted at this moment.
+                if let Some(lead) = node.lead.borrow_mut().as_mut().filter(|l| l.token == token) {
+                    lead.on_direct(machine, outcome, now);
+                }
+                node.work.set();
+            });
+        }
+    }
+
+    pub(super) async fn send_direct(
+        &self,
+        token: u64,
+        message: DirectMessage,
+        limit_s: f64,
+    ) -> DirectOutcome {
+        let body = Direct {
+            token,
+            session: message.session,
+            commands: message.commands,
+        };
+        let Ok(body) = serde_json::to_vec(&body) else {
+            return DirectOutcome::NotSent;
+        };
+        let client = Client::new(&self.rt, message.addr, OUTSIDE_BODY_MAX);
+        let answer = client
+            .call_if("POST", path::COMMANDS, Some(&body), limit_s, || {
+                self.acting() == Some(token)
+            })
+            .await;
+        match answer {
+            Ok((200, body)) => {
+                serde_json::from_slice(&body).map_or(DirectOutcome::Unknown, DirectOutcome::Done)
+            }
+            Ok((409, body)) => {
+                serde_json::from_slice(&body).map_or(DirectOutcome::Unknown, DirectOutcome::Refused)
+            }
+            Ok(_) | Err(CallError::Unknown(_)) => DirectOutcome::Unknown,
+            Err(CallError::NotSent(_)) => DirectOutcome::NotSent,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/reports.rs
@@ -0,0 +1,138 @@
+//! Reports of workers.
+
+use std::rc::Rc;
+
+use serde_json::value::to_raw_value;
+
+use super::{ASTRAY_WORKERS, HOLD_REPORTS, Node, PLEA_REPORTS, PLEA_S_MAX, RETRY_S, Seen};
+use crate::cluster::WorkerSeen;
+use crate::fleet::Source;
+use crate::http::Response;
+use crate::rt::Time;
+use crate::view::{PleaRecord, key};
+use crate::wire::{self, Condition, Redirect, Report, ReportReply, Txn};
+
+impl Node {
+    pub(super) async fn report(&self, body: &[u8]) -> Response {
+        let Ok(report) = serde_json::from_slice::<Report>(body) else {
+            return Response::error(400, "not a report");
+        };
+        let now = self.now();
+        let leader = self
+            .view
+            .borrow()
+            .leader
+            .as_ref()
+            .map(|(r, token)| (r.host.clone(), *token));
+        {
+            let mut seen = self.seen.borrow_mut();
+            let entry = seen.entry(report.machine.clone()).or_insert_with(|| Seen {
+                at: now,
+                redirected: None,
+                astray: None,
+                worker: WorkerSeen {
+                    machine: report.machine.clone(),
+                    zone: report.zone.clone(),
+                    addr: report.addr.clone(),
+                    session: report.session,
+                },
+            });
+            entry.at = now;
+            entry.worker.session = report.session;
+        }
+        if let Some(token) = self.acting().filter(|t| report.token <= *t) {
+            let taken = self.with_lead(token, |lead| {
+                lead.last_report = now;
+                let commands = lead.on_report(&report, Source::Checkin, now);
+                (commands, lead.has_work_waiting())
+            });
+            if let Some((None, _)) = taken {
+                // Nothing new: perhaps a late copy.
+                let commands = Vec::new();
+                return Response::json(200, &ReportReply { token, commands });
+            }
+            if let Some((Some(mut commands), work_waits)) = taken {
+                self.work.set();
+                if work_waits {
+                    // What this report makes room for can go out with its answer, once stored.
+                    let hold = self.config.deployment.workers.report_s * HOLD_REPORTS;
+                    let _ = self.rt.timeout(hold, self.round.next()).await;
+                }
+                let answered =
+                    self.with_lead(token, |lead| lead.answer_commands(&report, &mut commands));
+                return match answered {
+                    Some(()) => Response::json(200, &ReportReply { token, commands }),
+                    None => Response::later(503, "no longer leading", RETRY_S),
+                };
+            }
+        }
+        match leader {
+            Some((host, token)) if host != self.config.node => {
+                if let Some(answer) = self.stand_in(&report, token).await {
+                    return answer;
+                }
+                self.note_redirect(&report, token, now);
+                Response::json(
+                    421,
+                    &Redirect {
+                        report_to: Some(&host),
+                    },
+                )
+            }
+            _ => Response::later(503, "nobody leads", RETRY_S),
+        }
+    }
+
+    /// Workers that know the leader's token, or were told where the leader is, and come here all
+    /// the same could not reach it.
+    pub(super) fn note_redirect(&self, report: &Report, token: u64, now: Time) {
+        let report_s = self.config.deployment.workers.report_s;
+        let mut seen = self.seen.borrow_mut();
+        if let Some(entry) = seen.get_mut(&report.machine) {
+            let again = entry
+                .redirected
+                .is_some_and(|(at, t)| t == token && now - at < report_s * 4.0);
+            entry.redirected = Some((now, token));
+            entry.astray = (again || report.token == token).then_some(now);
+        }
+        let gone_astray = seen
+            .get(&report.machine)
+            .is_some_and(|s| s.astray.is_some());
+        let pause = (report_s * PLEA_REPORTS).min(PLEA_S_MAX);
+        if !gone_astray || now - self.plea_at.get() <= pause {
+            return;
+        }
+        let lately = |s: &&Seen| s.astray.is_some_and(|at| now - at < report_s * 2.0);
+        if seen.values().filter(lately).count() >= ASTRAY_WORKERS {
+            self.plea_at.set(now);
+            self.plea.set(Some(token));
+            self.plea_work.set();
+        }
+    }
+
+    /// Writes pleas: a leader that hears no worker while others do should give way.
+    pub(super) async fn plea_duty(self: Rc<Self>) {
+        loop {
+            self.plea_work.take().await;
+            let Some(token) = self.plea.take() else {
+                continue;
+            };
+            let Ok(value) = to_raw_value(&PleaRecord { token }) else {
+                continue;
+            };
+            let txn = Txn {
+                conditions: vec![Condition {
+                    key: key::leader(),
+                    version: token,
+                }],
+                changes: vec![wire::Change::Put {
+                    key: key::plea(&self.config.node),
+                    value,
+                    lease: None,
+                }],
+            };
+            tracing::info!("workers can't reach the leader");
+            self.user_write(&txn).await;
+        }
+    }
+}
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -1,7 +1,11 @@
 //! The routines against scripted peers on loopback.
 
 use super::*;
+use crate::election::Tenure;
+use crate::http::{Request, Response};
 use crate::testing::{job, types};
+use crate::view::key;
+use crate::wire;
 
 pub(super) const LIMITS: ServerLimits = ServerLimits {
     connections: 16,
--- /dev/null
+++ b/src/node/users.rs
@@ -0,0 +1,246 @@
+//! What users are served: submissions, withdrawals, queries.
+
+use std::rc::Rc;
+
+use serde_json::value::to_raw_value;
+
+use super::{
+    Node, RETRY_S, STATE_LOST_REPORTS, STATE_LOST_S_MAX, STATE_PAUSE_S, USER_PACE_RISE,
+    USER_WRITE_S, USER_WRITES_MAX,
+};
+use crate::api::{is_job_id, job_answer, never_runs, parse_submission};
+use crate::http::{Request, Response};
+use crate::lead::TxnOutcome;
+use crate::view::{End, EndRecord, JobView, key};
+use crate::wire::{self, Condition, Submission, Txn, path};
+
+impl Node {
+    pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response {
+        let p = request.path.split('?').next().unwrap_or_default();
+        match (request.method.as_str(), p) {
+            ("POST", path::REPORT) => self.report(&request.body).await,
+            ("POST", path::JOBS) => self.submit(&request.body).await,
+            ("GET", path::READY) => self.ready(),
+            (_, path::REPORT | path::JOBS | path::READY) => {
+                Response::error(405, "method not allowed")
+            }
+            (method, p) => {
+                let Some(rest) = p
+                    .strip_prefix(path::JOBS)
+                    .and_then(|rest| rest.strip_prefix('/'))
+                else {
+                    return Response::error(404, "no such path");
+                };
+                match (method, rest.strip_suffix(path::CANCEL)) {
+                    ("POST", Some(id)) => self.withdraw(id).await,
+                    ("GET", None) => self.query(rest).await,
+                    _ => Response::error(405, "method not allowed"),
+                }
+            }
+        }
+    }
+
+    pub(super) fn ready(&self) -> Response {
+        let now = self.now();
+        let report_s = self.config.deployment.workers.report_s;
+        let within = (report_s * STATE_LOST_REPORTS).min(STATE_LOST_S_MAX);
+        let able = self.loaded.get() && self.view.borrow().types.is_some();
+        let served = self.state_heard.get().is_some_and(|t| now - t < within);
+        // Without the state service users are no better off elsewhere, unless others have it, or may:
+        // a node that hears no other one either is cut off.
+        let outage = self.config.peers.is_empty()
+            || self.peers.any_heard(now, within) && !self.peers.any_has_state(now, within);
+        if able && (served || outage) {
+            Response::json(200, &serde_json::json!({ "ready": true }))
+        } else {
+            Response::later(503, "not ready", RETRY_S)
+        }
+    }
+
+    /// The job's view if it can be told right away: the end never changes.
+    pub(super) fn final_state(&self, id: &str, status: u16) -> Option<Response> {
+        let view = self.view.borrow();
+        let job = view.jobs.get(id).filter(|j| j.end.is_some())?;
+        Some(job_answer(status, id, job))
+    }
+
+    pub(super) async fn query(&self, id: &str) -> Response {
+        if !is_job_id(id) {
+            return Response::error(404, "no such job");
+        }
+        if let Some(answer) = self.final_state(id, 200) {
+            return answer;
+        }
+        if !self.barrier().await {
+            return Response::later(503, "state not known now", RETRY_S);
+        }
+        self.tell(id, 200)
+    }
+
+    /// A job's state after a barrier.
+    pub(super) fn tell(&self, id: &str, status: u16) -> Response {
+        match self.view.borrow().jobs.get(id).filter(|j| j.is_known()) {
+            Some(job) => job_answer(status, id, job),
+            None => Response::error(404, "no such job"),
+        }
+    }
+
+    pub(super) async fn submit(&self, body: &[u8]) -> Response {
+        let job = match parse_submission(body) {
+            Ok(job) => job,
+            Err(reason) => {
+                tracing::debug!("malformed submission: {reason}");
+                return Response::error(400, &reason);
+            }
+        };
+        if let Some(answer) = self.final_state(&job.id, 200) {
+            return answer;
+        }
+        let types = self.view.borrow().types.clone();
+        let (true, Some(types)) = (self.loaded.get(), types) else {
+            return Response::later(503, "not ready", RETRY_S);
+        };
+        let known = self
+            .view
+            .borrow()
+            .jobs
+            .get(job.id.as_str())
+            .is_some_and(JobView::is_known);
+        if known {
+            return match self.barrier().await {
+                true => self.tell(&job.id, 200),
+                false => Response::later(503, "state not known now", RETRY_S),
+            };
+        }
+        if let Some(reason) = never_runs(&job, &self.config, &types) {
+            return Response::error(422, &reason);
+        }
+        let Some(txn) = creation(&job) else {
+            return Response::error(400, "not storable");
+        };
+        match self.user_write(&txn).await {
+            Some(TxnOutcome::Applied(_)) => {
+                let fresh = JobView::default();
+                Response::json(201, &fresh.status(&job.id))
+            }
+            Some(TxnOutcome::Conflict(_)) if self.barrier().await => self.tell(&job.id, 200),
+            _ => Response::later(503, "could not be stored now", RETRY_S),
+        }
+    }
+
+    pub(super) async fn withdraw(&self, id: &str) -> Response {
+        if !is_job_id(id) {
+            return Response::error(404, "no such job");
+        }
+        if let Some(answer) = self.final_state(id, 200) {
+            return answer;
+        }
+        if !self.barrier().await {
+            return Response::later(503, "state not known now", RETRY_S);
+        }
+        let (order, done) = {
+            let view = self.view.borrow();
+            match view.jobs.get(id).filter(|j| j.is_known()) {
+                None => return Response::error(404, "no such job"),
+                Some(job) if job.end.is_some() => return job_answer(200, id, job),
+                Some(job) => (job.order, job.done()),
+            }
+        };
+        let record = EndRecord {
+            end: End::Cancelled,
+            done,
+        };
+        let Ok(value) = to_raw_value(&record) else {
+            return Response::error(500, "not storable");
+        };
+        let txn = Txn {
+            conditions: vec![
+                Condition {
+                    key: key::end(id),
+                    version: 0,
+                },
+                Condition {
+                    key: key::job(id),
+                    version: order,
+                },
+            ],
+            changes: vec![wire::Change::Put {
+                key: key::end(id),
+                value,
+                lease: None,
+            }],
+        };
+        match self.user_write(&txn).await {
+            Some(TxnOutcome::Applied(_)) => job_answer(200, id, &JobView::ended(record)),
+            Some(TxnOutcome::Conflict(_)) if self.barrier().await => self
+                .final_state(id, 200)
+                .unwrap_or_else(|| Response::later(503, "changing", RETRY_S)),
+            _ => Response::later(503, "could not be stored now", RETRY_S),
+        }
+    }
+
+    /// Stores something for a user, within this node's share of the writes. None: too much is
+    /// under way, or the store gave no definite word in time.
+    pub(super) async fn user_write(&self, txn: &Txn) -> Option<TxnOutcome> {
+        if self.user_writes_live.get() >= USER_WRITES_MAX {
+            return None;
+        }
+        self.user_writes_live.set(self.user_writes_live.get() + 1);
+        let outcome = self.paced_user_write(txn).await;
+        self.user_writes_live.set(self.user_writes_live.get() - 1);
+        outcome
+    }
+
+    pub(super) async fn paced_user_write(&self, txn: &Txn) -> Option<TxnOutcome> {
+        let deadline = self.now() + USER_WRITE_S;
+        let wait = self.user_writes.take(1.0, self.now());
+        if wait > USER_WRITE_S / 2.0 {
+            // What can't be done in time is refused now, not after waiting.
+            self.user_writes.give_back(1.0);
+            return None;
+        }
+        self.rt.sleep(wait).await;
+        loop {
+            let outcome = self.store.txn(txn).await;
+            self.pace_users(&outcome);
+            match outcome {
+                TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
+                    self.heard_state();
+                    return Some(outcome);
+                }
+                // The same again does no harm: it creates only what is absent.
+                TxnOutcome::Refused | TxnOutcome::Unknown => {
+                    if self.now() + STATE_PAUSE_S > deadline {
+                        return None;
+                    }
+                    self.rt.sleep(STATE_PAUSE_S).await;
+                }
+            }
+        }
+    }
+
+    /// Users are not spread evenly over the nodes: one that has many of them may write more than
+    /// its share as long as the store takes it.
+    pub(super) fn pace_users(&self, outcome: &TxnOutcome) {
+        let share = self.user_rate / self.config.deployment.nodes as f64;
+        self.user_writes.set_rate(match outcome {
+            TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
+                (self.user_writes.rate() * USER_PACE_RISE).min(self.user_rate)
+            }
+            TxnOutcome::Refused | TxnOutcome::Unknown => share,
+        });
+    }
+}
+
+/// Stores a job, if neither it nor its end is there.
+fn creation(job: &Submission) -> Option<Txn> {
+    let absent = |key| Condition { key, version: 0 };
+    Some(Txn {
+        conditions: vec![absent(key::job(&job.id)), absent(key::end(&job.id))],
+        changes: vec![wire::Change::Put {
+            key: key::job(&job.id),
+            value: to_raw_value(job).ok()?,
+            lease: None,
+        }],
+    })
+}
