--- a/src/config.rs
+++ b/src/config.rs
@@ -553,6 +553,9 @@
             ("write_rps = 20.0", "write_rps = 0.0", "write_rps"),
             ("lease_s = 20.0", "lease_s = -1.0", "lease_s"),
             ("lease_s = 20.0", "lease_s = nan", "lease_s"),
+            // So short that no safe leader's lease fits.
+            ("lease_s = 20.0", "lease_s = 0.2", "leader's lease"),
+            ("share = 0.9", "times = -1.0", "objectives.times"),
             ("report_s = 3.0", "report_s = inf", "report_s"),
             ("127.0.0.9:1", "nowhere", "line 12"),
             ("cpus = 20.0", "cpus = -20.0", "teams.blue.cpus"),
