A leader's trust runs from the last proof that its view was current

One whose renewals pass while its watch stalls answered workers 200 for ever, without the stops of jobs that were cancelled through others. Now it may act until a leader's trusted life after the earlier of the last renewal and the last read whose revision its view reached; one whose lease is renewed for two lives more without such a proof gives way.

Also found by going through the answers: - Read anew, ends come before jobs in the order of names, and the record of a job that was over was then dropped: a restarted leader did not count cancelled tasks that may still be on a machine. - A report overtaken by the answer to a direct message was answered without the stops of what is over. - A direct launch was judged when its round began, not when it was sent. - A machine with a launch in doubt of a cancelled job is returned; now its lease runs out too.

--- a/src/autoscale/letting_go.rs
+++ b/src/autoscale/letting_go.rs
@@ -26,6 +26,7 @@
         let trusted = heard * 2 >= up().count()
             && (heard < 2 || now - self.last_report < w.report_s * HEARING_REPORTS);
         let mute = self.is_mute();
+        let doubt_s = self.doubt_s();
         let mut lost = Vec::new();
         for (ix, m) in &self.fleet.machines {
             if m.leaving {
@@ -37,7 +38,7 @@
                     .values()
                     .all(|s| s.over || s.running_since.is_none())
                     || now - m.cool_until > w.lease_s
-            } else if m.is_haunted(now, silent_s) {
+            } else if m.is_haunted(now, doubt_s) {
                 true
             } else if let Some(since) = m.deaf_since {
                 // What is on it ends with its worker's lease: nothing renews that.
--- a/src/election.rs
+++ b/src/election.rs
@@ -11,13 +11,22 @@
 use crate::view::{LeaderRecord, key};
 use crate::wire::{Change, Condition, Txn};
 
-/// An office held: good while `trusted_until` has not passed.
+/// An office held.
 #[derive(Debug, Clone, Copy)]
 pub struct Tenure {
     pub token: u64,
     pub lease: u64,
-    /// The lease is trusted until then, counted from when its last renewal was sent.
-    pub trusted_until: Time,
+    /// When the last renewal that passed was sent.
+    pub renewed: Time,
+}
+
+impl Tenure {
+    /// Until when this office may be acted on, if everything stored at the moment `view_current` is known
+    /// here. A renewal alone proves nothing of the view: a leader whose watch stalls while its lease is
+    /// renewed would answer workers for ever without the stops of jobs that were cancelled elsewhere.
+    pub fn trusted_until(&self, view_current: Time, trusted_life_s: f64) -> Time {
+        self.renewed.min(view_current) + trusted_life_s
+    }
 }
 
 /// What became of a renewal.
@@ -76,7 +85,7 @@
     let tenure = |token| Tenure {
         token,
         lease,
-        trusted_until: sent + config.trusted_life_s(),
+        renewed: sent,
     };
     let outcome = store.txn(&txn).await;
     if let TxnOutcome::Applied(token) = outcome {
@@ -112,11 +121,11 @@
 }
 
 /// Renews an office.
-pub async fn keep(rt: &Rt, store: &Store, config: &Config, tenure: &mut Tenure) -> Kept {
+pub async fn keep(rt: &Rt, store: &Store, tenure: &mut Tenure) -> Kept {
     let sent = rt.now();
     match store.renew(tenure.lease).await {
         Ok(Renewal::Renewed) => {
-            tenure.trusted_until = sent + config.trusted_life_s();
+            tenure.renewed = sent;
             Kept::Yes
         }
         Ok(Renewal::Ended) => Kept::No,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -508,14 +508,37 @@
     }
 
     /// Adds to the answer of a worker's own report what it is to do now. A report that is no
-    /// longer the newest known gets nothing: its worker may have given up on it.
-    pub fn answer_commands(&mut self, report: &Report, commands: &mut Vec<Command>) {
+    /// longer the newest known gets nothing: its worker may have given up on it. Returns whether it
+    /// was the newest.
+    pub fn answer_commands(&mut self, report: &Report, commands: &mut Vec<Command>) -> bool {
         let newest = |m: &Machine| (m.session, m.seq) == (report.session, report.seq);
-        if let Some(ix) = self.fleet.find(&report.machine)
-            && self.fleet.machines.get(&ix).is_some_and(newest)
-        {
+        let Some(ix) = self.fleet.find(&report.machine) else {
+            return false;
+        };
+        let newest = self.fleet.machines.get(&ix).is_some_and(newest);
+        if newest {
             self.write_commands(ix, Source::Checkin, commands);
         }
+        newest
+    }
+
+    /// Whether a machine's lease must not be renewed: a direct launch of something that is over may still
+    /// be carried out there, however late. The machine is being returned, but the cloud may not answer.
+    pub fn lets_lapse(&self, machine: &str, now: Time) -> bool {
+        let doubt_s = self.doubt_s();
+        let m = self
+            .fleet
+            .find(machine)
+            .and_then(|ix| self.fleet.machines.get(&ix));
+        m.is_some_and(|m| m.is_haunted(now, doubt_s))
+    }
+
+    /// For how long a launch of something that is over may be in doubt: then its machine goes, and its
+    /// worker's lease runs out within `cancel_s` in any case.
+    pub(crate) fn doubt_s(&self) -> f64 {
+        let w = &self.config.deployment.workers;
+        let left = w.cancel_s - self.off_after_s - self.config.leader_life_s();
+        (w.report_s * self.config.tunables.silent_reports).min(left)
     }
 
     /// A worker has seen our token in a session: if that is later than all that is known of it, what
--- a/src/node.rs
+++ b/src/node.rs
@@ -98,6 +98,8 @@
 const PLEA_S_MAX: f64 = 1.5;
 /// So many workers that can't reach the leader are told of.
 const ASTRAY_WORKERS: usize = 2;
+/// A leader whose lease is renewed but whose view was not current for so many lives gives way.
+const STALE_LIVES: f64 = 2.0;
 /// How long a leader that resigned stands back, in lives of its lease.
 const STAND_BACK_LIVES: f64 = 3.0;
 /// For how long a controller waits for others that should rather lead, in lives of the lease.
@@ -155,6 +157,8 @@
     /// Begins the watch anew.
     rewatch: Signal,
     state_heard: Cell<Option<Time>>,
+    /// All that was stored at that moment is in the view.
+    view_current: Cell<Time>,
     barrier_work: Signal,
     barrier_queue: RefCell<Vec<oneshot::Sender<bool>>>,
     tenure: Cell<Option<Tenure>>,
@@ -182,57 +186,60 @@
 /// Runs a controller until its process ends.
 pub fn run(config: Config) -> Result<(), StartError> {
     let config = Rc::new(config);
-    Rt::run(|rt| {
-        let listen = |what, addr| {
-            rt.listen(addr)
-                .map_err(|source| StartError::Listen { what, addr, source })
-        };
-        let front = listen("front", config.listen)?;
-        let links = listen("cluster_listen", config.peer_listen)?;
-        let node = Rc::new(Node::new(rt, config.clone()));
-        let w = &config.deployment.workers;
-        let root = Scope::new(rt);
-        let limits = ServerLimits {
-            connections: ServerLimits::connections_within(front_sockets(&config)),
-            request_s: w.report_s * REQUEST_REPORTS,
-            idle_s: w.lease_s * IDLE_LEASES,
-            rest_s: w.report_s * REST_REPORTS,
-        };
-        let handler = {
-            let node = node.clone();
-            Rc::new(move |request| {
-                let node = node.clone();
-                Box::pin(async move { node.handle(request).await }) as _
-            })
-        };
-        root.spawn(serve(rt.clone(), front, limits, handler));
-        let every_s = (w.report_s * GREETING_REPORTS).min(GREETING_S_MAX);
-        root.spawn(cluster::listen(
-            rt.clone(),
-            links,
-            config.peers.len(),
-            every_s,
-            node.peers.clone(),
-            node.expected.clone(),
-        ));
-        for peer in &config.peers {
+    Rt::run(|rt| Ok(start(rt, config)?.1))
+}
+
+/// Starts a controller's routines; they end with the scope.
+fn start(rt: &Rt, config: Rc<Config>) -> Result<(Rc<Node>, Scope), StartError> {
+    let listen = |what, addr| {
+        rt.listen(addr)
+            .map_err(|source| StartError::Listen { what, addr, source })
+    };
+    let front = listen("front", config.listen)?;
+    let links = listen("cluster_listen", config.peer_listen)?;
+    let node = Rc::new(Node::new(rt, config.clone()));
+    let w = &config.deployment.workers;
+    let root = Scope::new(rt);
+    let limits = ServerLimits {
+        connections: ServerLimits::connections_within(front_sockets(&config)),
+        request_s: w.report_s * REQUEST_REPORTS,
+        idle_s: w.lease_s * IDLE_LEASES,
+        rest_s: w.report_s * REST_REPORTS,
+    };
+    let handler = {
+        let node = node.clone();
+        Rc::new(move |request| {
             let node = node.clone();
-            let told = RefCell::new(String::new());
-            let greeter = Box::new(move || node.greeting(&mut told.borrow_mut()));
-            root.spawn(cluster::greet(rt.clone(), peer.clone(), every_s, greeter));
-        }
-        root.spawn(node.clone().follow_duty());
-        root.spawn(node.clone().barrier_duty());
-        root.spawn(node.clone().types_duty());
-        root.spawn(node.clone().plea_duty());
-        root.spawn(node.clone().word_duty());
-        root.spawn(node.clone().relay_duty());
-        root.spawn(node.clone().election_duty());
-        root.spawn(node.clone().leader_duty());
-        root.spawn(node.clone().cloud_duty());
-        tracing::info!("{} serves at {}", config.node, config.listen);
-        Ok(root)
-    })
+            Box::pin(async move { node.handle(request).await }) as _
+        })
+    };
+    root.spawn(serve(rt.clone(), front, limits, handler));
+    let every_s = (w.report_s * GREETING_REPORTS).min(GREETING_S_MAX);
+    root.spawn(cluster::listen(
+        rt.clone(),
+        links,
+        config.peers.len(),
+        every_s,
+        node.peers.clone(),
+        node.expected.clone(),
+    ));
+    for peer in &config.peers {
+        let node = node.clone();
+        let told = RefCell::new(String::new());
+        let greeter = Box::new(move || node.greeting(&mut told.borrow_mut()));
+        root.spawn(cluster::greet(rt.clone(), peer.clone(), every_s, greeter));
+    }
+    root.spawn(node.clone().follow_duty());
+    root.spawn(node.clone().barrier_duty());
+    root.spawn(node.clone().types_duty());
+    root.spawn(node.clone().plea_duty());
+    root.spawn(node.clone().word_duty());
+    root.spawn(node.clone().relay_duty());
+    root.spawn(node.clone().election_duty());
+    root.spawn(node.clone().leader_duty());
+    root.spawn(node.clone().cloud_duty());
+    tracing::info!("{} serves at {}", config.node, config.listen);
+    Ok((node, root))
 }
 
 /// Direct messages to workers under way at once.
@@ -281,6 +288,7 @@
             hurry: Signal::default(),
             rewatch: Signal::default(),
             state_heard: Cell::new(None),
+            view_current: Cell::new(f64::NEG_INFINITY),
             barrier_work: Signal::default(),
             barrier_queue: RefCell::default(),
             tenure: Cell::new(None),
@@ -312,10 +320,18 @@
     fn acting(&self) -> Option<u64> {
         self.tenure
             .get()
-            .filter(|t| self.now() < t.trusted_until)
+            .filter(|t| {
+                let life_s = self.config.trusted_life_s();
+                self.now() < t.trusted_until(self.view_current.get(), life_s)
+            })
             .map(|t| t.token)
     }
 
+    /// The view shows all that was stored at that moment.
+    fn view_was_current(&self, at: Time) {
+        self.view_current.set(self.view_current.get().max(at));
+    }
+
     fn heard_state(&self) {
         self.state_heard.set(Some(self.now()));
     }
@@ -348,5 +364,9 @@
     }
 }
 
+#[cfg(test)]
+mod meetings;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod world;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -35,6 +35,7 @@
         loop {
             self.barrier_work.take().await;
             let waiting = self.barrier_queue.take();
+            let began = self.now();
             let passed = match self.store.revision(&key::nothing()).await {
                 Ok(revision) => {
                     self.heard_state();
@@ -45,6 +46,9 @@
                     false
                 }
             };
+            if passed {
+                self.view_was_current(began);
+            }
             for tell in waiting {
                 let _ = tell.send(passed);
             }
@@ -92,6 +96,7 @@
         let mut fresh = View::default();
         let mut after = String::new();
         let mut first = None;
+        let began = self.now();
         loop {
             let page = self.store.list(key::ROOT, &after).await?;
             self.heard_state();
@@ -109,6 +114,7 @@
         fresh.drop_stale();
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
+        self.view_was_current(began);
         self.resync();
         self.leader_moved.set();
         self.moved.beat();
@@ -121,9 +127,8 @@
         let view = self.view.borrow();
         if let Some(lead) = self.lead.borrow_mut().as_mut() {
             for (id, job) in &view.jobs {
-                if job.end.is_none() {
-                    lead.enter_job(id, job, now);
-                }
+                // One that is over may still be on machines, and count there.
+                lead.enter_job(id, job, now);
                 if let Some(end) = &job.end {
                     lead.on_end(id, end, now);
                 }
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -7,16 +7,16 @@
 
 use super::{
     DIRECT_REPORTS, DIRECT_S_MAX, DIRECT_S_MIN, DUTY_GAP_S, DUTY_REST, Node, OUTSIDE_BODY_MAX,
-    RENEWALS, STAND_ASIDE, STAND_BACK_LIVES, STATE_PAUSE_S, TEND_REPORTS, TEND_S_MAX, WRITES_MAX,
-    directs_max,
+    RENEWALS, STALE_LIVES, STAND_ASIDE, STAND_BACK_LIVES, STATE_PAUSE_S, TEND_REPORTS, TEND_S_MAX,
+    WRITES_MAX, directs_max,
 };
 use crate::cluster::WorkerSeen;
 use crate::election::{self, Kept, Tenure};
 use crate::fleet::{DirectMessage, DirectOutcome};
 use crate::http::{CallError, Client};
-use crate::lead::{AfterTxn, Lead, TxnOutcome};
+use crate::lead::{AfterTxn, Lead, TxnOutcome, split_task};
 use crate::rt::Scope;
-use crate::wire::{Direct, path};
+use crate::wire::{Command, Direct, path};
 
 impl Node {
     pub(super) async fn election_duty(self: Rc<Self>) {
@@ -76,11 +76,21 @@
         self.tenure.set(Some(tenure));
         self.resign.clear();
         let mut begun = false;
-        let every = self.config.leader_life_s() / RENEWALS;
+        let life_s = self.config.leader_life_s();
+        let every = life_s / RENEWALS;
+        let stood = self.now();
         loop {
             if !begun && self.reach(tenure.token).await {
+                self.view_was_current(tenure.renewed);
                 begun = self.begin(tenure.token);
             }
+            // What this leader says rests on a view known to be current, see `Tenure::trusted_until`.
+            self.barrier_work.set();
+            let current = self.view_current.get().max(stood);
+            if tenure.renewed - current > life_s * STALE_LIVES {
+                tracing::warn!("the lease is renewed, but changes don't come");
+                self.resign.set();
+            }
             let resign = std::pin::pin!(self.resign.raised());
             if let Either::Left(_) = select(resign, self.rt.sleep(every)).await {
                 tracing::info!("{} gives up the lead", self.config.node);
@@ -89,7 +99,7 @@
                 let _ = self.store.end_lease(tenure.lease).await;
                 return;
             }
-            match election::keep(&self.rt, &self.store, &self.config, &mut tenure).await {
+            match election::keep(&self.rt, &self.store, &mut tenure).await {
                 Kept::Yes => {
                     self.heard_state();
                     let now = self.now();
@@ -285,12 +295,30 @@
         }
     }
 
+    /// Whether commands start something of a job that has ended meanwhile: a cancellation may come
+    /// between the round that made them and the connection over which they go.
+    fn starts_what_is_over(&self, commands: &[Command]) -> bool {
+        commands.iter().any(|command| match command {
+            Command::Start { task, .. } => self.is_over(task),
+            Command::Stop { .. } | Command::Forget { .. } => false,
+        })
+    }
+
+    /// Whether a task's job has ended.
+    pub(super) fn is_over(&self, task: &str) -> bool {
+        let view = self.view.borrow();
+        split_task(task)
+            .and_then(|(id, _)| view.jobs.get(id))
+            .is_some_and(|job| job.end.is_some())
+    }
+
     pub(super) async fn send_direct(
         &self,
         token: u64,
         message: DirectMessage,
         limit_s: f64,
     ) -> DirectOutcome {
+        let commands = message.commands.clone();
         let body = Direct {
             token,
             session: message.session,
@@ -302,7 +330,7 @@
         let client = Client::new(&self.rt, message.addr, OUTSIDE_BODY_MAX);
         let answer = client
             .call_if("POST", path::COMMANDS, Some(&body), limit_s, || {
-                self.acting() == Some(token)
+                self.acting() == Some(token) && !self.starts_what_is_over(&commands)
             })
             .await;
         match answer {
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -4,6 +4,7 @@
 
 use serde_json::value::to_raw_value;
 
+use super::standin::stops;
 use super::{ASTRAY_WORKERS, HOLD_REPORTS, Node, PLEA_REPORTS, PLEA_S_MAX, RETRY_S, Seen};
 use crate::cluster::WorkerSeen;
 use crate::fleet::Source;
@@ -47,8 +48,10 @@
                 (commands, lead.has_work_waiting())
             });
             if let Some((None, _)) = taken {
-                // Nothing new: perhaps a late copy.
-                let commands = Vec::new();
+                // Nothing new: perhaps a late copy, perhaps a report that an answer to a direct message
+                // overtook. It renews the lease in that case, so it must not go without the stops of what
+                // is over; these do no harm to a worker that gave up on it.
+                let commands = stops(&report, |task| self.is_over(task));
                 return Response::json(200, &ReportReply { token, commands });
             }
             if let Some((Some(mut commands), work_waits)) = taken {
@@ -58,10 +61,20 @@
                     let hold = self.config.deployment.workers.report_s * HOLD_REPORTS;
                     let _ = self.rt.timeout(hold, self.round.next()).await;
                 }
-                let answered =
-                    self.with_lead(token, |lead| lead.answer_commands(&report, &mut commands));
+                let now = self.now();
+                let answered = self.with_lead(token, |lead| {
+                    if lead.lets_lapse(&report.machine, now) {
+                        return false;
+                    }
+                    if !lead.answer_commands(&report, &mut commands) {
+                        commands.extend(stops(&report, |task| self.is_over(task)));
+                    }
+                    true
+                });
                 return match answered {
-                    Some(()) => Response::json(200, &ReportReply { token, commands }),
+                    Some(true) => Response::json(200, &ReportReply { token, commands }),
+                    // What may yet start there must not: its worker's lease is to run out.
+                    Some(false) => Response::later(503, "the lease runs out", RETRY_S),
                     None => Response::later(503, "no longer leading", RETRY_S),
                 };
             }
--- a/src/node/standin.rs
+++ b/src/node/standin.rs
@@ -181,11 +181,7 @@
         if fresh {
             self.relay_work.set();
         }
-        let view = self.view.borrow();
-        let ended = |id: &str| view.jobs.get(id).is_some_and(|j| j.end.is_some());
-        let commands = stops(report, |name| {
-            split_task(name).is_some_and(|(id, _)| ended(id))
-        });
+        let commands = stops(report, |task| self.is_over(task));
         Some(Response::json(200, &ReportReply { token, commands }))
     }
 
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -211,7 +211,7 @@
             node.tenure.set(Some(Tenure {
                 token: 7,
                 lease: 1,
-                trusted_until: node.now() - 1.0,
+                renewed: f64::NEG_INFINITY,
             }));
             let mut worker = crate::testing::FakeWorker::new("i-1", "small", "north");
             let report = serde_json::to_vec(&worker.next()).unwrap();
@@ -313,8 +313,9 @@
         node.tenure.set(Some(Tenure {
             token: lead.token,
             lease: 1,
-            trusted_until: f64::INFINITY,
+            renewed: f64::INFINITY,
         }));
+        node.view_was_current(f64::INFINITY);
         let token = lead.token;
         *node.lead.borrow_mut() = Some(lead);
         let rt = rt.clone();
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -119,10 +119,10 @@
             return Response::error(400, "not storable");
         };
         match self.user_write(&txn).await {
-            Some(TxnOutcome::Applied(_)) => {
-                let fresh = JobView::default();
-                Response::json(201, &fresh.status(&job.id))
-            }
+            // While the answer was under way another node may have told its end.
+            Some(TxnOutcome::Applied(_)) => self
+                .final_state(&job.id, 200)
+                .unwrap_or_else(|| Response::json(201, &JobView::default().status(&job.id))),
             Some(TxnOutcome::Conflict(_)) if self.barrier().await => self.tell(&job.id, 200),
             _ => Response::later(503, "could not be stored now", RETRY_S),
         }
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -10,6 +10,9 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
+#[cfg(test)]
+pub(crate) mod pipe;
+
 use calloop::futures::{Scheduler, executor};
 use calloop::io::Async;
 use calloop::{EventLoop, LoopHandle};
@@ -49,7 +52,10 @@
 struct Inner {
     handle: LoopHandle<'static, ()>,
     scheduler: Scheduler<()>,
-    clock: SteadyClock,
+    clock: Box<dyn Clock>,
+    /// Connections in memory instead of sockets.
+    #[cfg(test)]
+    network: Option<pipe::Network>,
     timers: RefCell<Timers>,
     over: Cell<bool>,
     pause: Cell<Pause>,
@@ -86,6 +92,17 @@
 #[error("time limit passed")]
 pub struct Elapsed;
 
+/// A loop that runs routines.
+fn event_loop() -> Result<(EventLoop<'static, ()>, Scheduler<()>), calloop::Error> {
+    let event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
+    let (source, scheduler) = executor::<()>()?;
+    event_loop
+        .handle()
+        .insert_source(source, |(), _, _| {})
+        .map_err(|e| calloop::Error::from(io::Error::other(e.to_string())))?;
+    Ok((event_loop, scheduler))
+}
+
 fn micros(at: Time) -> u64 {
     (at.max(0.0) * 1e6) as u64
 }
@@ -96,16 +113,13 @@
     pub fn run<E: From<calloop::Error>>(
         setup: impl FnOnce(&Rt) -> Result<Scope, E>,
     ) -> Result<(), E> {
-        let mut event_loop: EventLoop<'static, ()> = EventLoop::try_new()?;
-        let (source, scheduler) = executor::<()>()?;
-        event_loop
-            .handle()
-            .insert_source(source, |(), _, _| {})
-            .map_err(|e| calloop::Error::from(io::Error::other(e.to_string())))?;
+        let (mut event_loop, scheduler) = event_loop()?;
         let rt = Rt(Rc::new(Inner {
             handle: event_loop.handle(),
             scheduler,
-            clock: SteadyClock::start(),
+            clock: Box::new(SteadyClock::start()),
+            #[cfg(test)]
+            network: None,
             timers: RefCell::default(),
             over: Cell::new(false),
             pause: Cell::default(),
@@ -191,6 +205,8 @@
     }
 
     fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        #[cfg(test)]
+        let work = pipe::counted(self, work);
         // The scheduler outlives every routine: it ends with the loop that polls them.
         if self.0.scheduler.schedule(work).is_err() {
             tracing::error!("the loop has ended");
@@ -206,6 +222,10 @@
 
     /// Opens a connection.
     pub async fn connect(&self, to: SocketAddr) -> io::Result<Stream> {
+        #[cfg(test)]
+        if let Some(network) = &self.0.network {
+            return network.connect(to).map(|end| Stream(Io::Pipe(end)));
+        }
         use socket2::{Domain, Protocol, Socket, Type};
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
@@ -223,15 +243,17 @@
         // A socket that is writable without being connected was refused.
         io.get_mut().peer_addr()?;
         io.get_mut().set_nodelay(true)?;
-        Ok(Stream(io))
+        Ok(Stream(Io::Socket(io)))
     }
 
     /// Listens at an address.
     pub fn listen(&self, at: SocketAddr) -> io::Result<Listener> {
-        Ok(Listener {
-            io: self.adapt(TcpListener::bind(at)?)?,
-            rt: self.clone(),
-        })
+        #[cfg(test)]
+        if let Some(network) = &self.0.network {
+            return Ok(Listener(Source::Pipes(network.listen(at)?)));
+        }
+        let io = self.adapt(TcpListener::bind(at)?)?;
+        Ok(Listener(Source::Socket(io, self.clone())))
     }
 }
 
@@ -276,68 +298,106 @@
 }
 
 /// A connection.
-pub struct Stream(Async<'static, TcpStream>);
+pub struct Stream(Io);
+
+enum Io {
+    Socket(Async<'static, TcpStream>),
+    #[cfg(test)]
+    Pipe(pipe::End),
+}
 
 impl Stream {
     /// Reads some bytes; 0 at the end.
     pub async fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        loop {
-            match self.0.get_mut().read(buf) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.0.readable().await,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                done => return done,
-            }
+        match &mut self.0 {
+            Io::Socket(io) => loop {
+                match io.get_mut().read(buf) {
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => io.readable().await,
+                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                    done => return done,
+                }
+            },
+            #[cfg(test)]
+            Io::Pipe(end) => Ok(end.read(buf).await),
         }
     }
 
     /// Waits until there is something to read, or the end.
     pub async fn readable(&mut self) {
-        self.0.readable().await;
+        match &mut self.0 {
+            Io::Socket(io) => io.readable().await,
+            #[cfg(test)]
+            Io::Pipe(end) => end.readable().await,
+        }
     }
 
     /// Writes all bytes.
     pub async fn write_all(&mut self, mut bytes: &[u8]) -> io::Result<()> {
-        while !bytes.is_empty() {
-            match self.0.get_mut().write(bytes) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => bytes = &bytes[n..],
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.0.writable().await,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+        match &mut self.0 {
+            Io::Socket(io) => {
+                while !bytes.is_empty() {
+                    match io.get_mut().write(bytes) {
+                        Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                        Ok(n) => bytes = &bytes[n..],
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => io.writable().await,
+                        Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                        Err(e) => return Err(e),
+                    }
+                }
+                Ok(())
             }
+            #[cfg(test)]
+            Io::Pipe(end) => end.write(bytes),
         }
-        Ok(())
     }
 
     /// Whether a connection at rest is still open with nothing unexpected to read.
     pub fn is_quiet(&mut self) -> bool {
-        let mut byte = [0];
-        matches!(self.0.get_mut().read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        match &mut self.0 {
+            Io::Socket(io) => {
+                let read = io.get_mut().read(&mut [0]);
+                matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+            }
+            #[cfg(test)]
+            Io::Pipe(end) => end.is_quiet(),
+        }
     }
 }
 
 /// A listening socket.
-pub struct Listener {
-    io: Async<'static, TcpListener>,
-    rt: Rt,
+pub struct Listener(Source);
+
+enum Source {
+    Socket(Async<'static, TcpListener>, Rt),
+    #[cfg(test)]
+    Pipes(pipe::Backlog),
 }
 
 impl Listener {
     /// Where it listens.
     pub fn addr(&mut self) -> io::Result<SocketAddr> {
-        self.io.get_mut().local_addr()
+        match &mut self.0 {
+            Source::Socket(io, _) => io.get_mut().local_addr(),
+            #[cfg(test)]
+            Source::Pipes(backlog) => Ok(backlog.addr),
+        }
     }
 
     /// The next connection.
     pub async fn accept(&mut self) -> io::Result<Stream> {
+        let (io, rt) = match &mut self.0 {
+            Source::Socket(io, rt) => (io, rt),
+            #[cfg(test)]
+            Source::Pipes(backlog) => return Ok(Stream(Io::Pipe(backlog.accept().await))),
+        };
         loop {
-            match self.io.get_mut().accept() {
+            match io.get_mut().accept() {
                 Ok((stream, _)) => {
-                    let mut io = self.rt.adapt(stream)?;
+                    let mut io = rt.adapt(stream)?;
                     io.get_mut().set_nodelay(true)?;
-                    return Ok(Stream(io));
+                    return Ok(Stream(Io::Socket(io)));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.io.readable().await,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => io.readable().await,
                 Err(e) => return Err(e),
             }
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -314,8 +314,9 @@
                 match value {
                     Some(value) => {
                         let job = self.jobs.entry(id.clone()).or_default();
-                        // The record of a job that is over is kept only as its end.
-                        if job.end.is_none() && job.spec.is_none() {
+                        // A job that is over may still be on machines, and count against its team's
+                        // limit: read anew, in the order of names, its end comes first.
+                        if job.spec.is_none() {
                             job.spec = parse(value).map(Rc::new);
                             job.order = version;
                         }
