Jobs that wait on jobs: graph, derived cancellations, demands passed back, limits to come

A job may begin when the ends of all that it needs are stored as done; a cancellation's reach is derived by every controller from the followed store, and the ends that follow are written by the leader as there is time. - Submissions: ids that nobody submitted, services and the job itself 422, after a barrier; malformed 400; a store that can't be asked 503. More ids than fit into a value go into further ones, in the same transaction. - Priority and deadline are passed back along the chain. - `state.next`: the smaller limits are kept from the first moment.

--- a/src/api.rs
+++ b/src/api.rs
@@ -23,7 +23,7 @@
 
 /// Reads a submission; the error says what is malformed.
 pub fn parse_submission(body: &[u8]) -> Result<Submission, String> {
-    let job: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let mut job: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     if !is_job_id(&job.id) {
         return Err("Uid: not a job id".into());
     }
@@ -53,6 +53,11 @@
             return Err(format!("{name}: negative or not finite"));
         }
     }
+    if let Some(id) = job.waits_on.iter().find(|id| !is_job_id(id)) {
+        return Err(format!("WaitsOn: {id} is not a job id"));
+    }
+    job.waits_on.sort_unstable();
+    job.waits_on.dedup();
     Ok(job)
 }
 
--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -302,7 +302,7 @@
             class.pending = 0.0;
             class.bound = 0.0;
         }
-        for job in self.jobs.values().filter(|j| j.ended.is_none()) {
+        for job in self.jobs.values().filter(|j| j.ended.is_none() && !j.waits) {
             let waiting = if job.not_before > now {
                 0
             } else {
--- a/src/book.rs
+++ b/src/book.rs
@@ -40,8 +40,16 @@
     pub team: usize,
     /// Order of acceptance.
     pub order: u64,
-    /// When it came, as far as this controller knows.
+    /// When it came, as far as this controller knows: its own deadline counts from then.
+    pub submitted: Time,
+    /// When it could begin: all other times count from then.
     pub since: Time,
+    /// It waits for others: it holds nothing, and is not placed.
+    pub waits: bool,
+    /// When it must be done for what needs it to be in time.
+    pub needed_by: Time,
+    /// Values of the store beside its own that tell on whom it waits.
+    pub parts: u32,
     tasks: Vec<Task>,
     next_fresh: u32,
     again: Vec<u32>,
@@ -73,7 +81,11 @@
             spec,
             team,
             order,
+            submitted: since,
             since,
+            waits: false,
+            needed_by: f64::INFINITY,
+            parts: 0,
             next_fresh: 0,
             again: Vec::new(),
             done: 0,
--- a/src/chaos.rs
+++ b/src/chaos.rs
@@ -334,6 +334,7 @@
                 let record = EndRecord {
                     end: End::Cancelled,
                     done: 0,
+                    at_ms: None,
                 };
                 self.store.put(key::end(&id), &record);
                 self.cancelled.insert(id.clone(), self.now);
--- a/src/config.rs
+++ b/src/config.rs
@@ -109,6 +109,34 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Coming limits of the state service; what is absent stays.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NextStateLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The smaller limits of now and later: nothing may be stored that is too large in a moment.
+    fn lowered(&mut self) {
+        if let Some(next) = &self.next {
+            self.rps = next.rps.map_or(self.rps, |n| n.min(self.rps));
+            self.write_rps = next
+                .write_rps
+                .map_or(self.write_rps, |n| n.min(self.write_rps));
+            self.value_kb = next
+                .value_kb
+                .map_or(self.value_kb, |n| n.min(self.value_kb));
+            self.txn_ops = next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops));
+        }
+    }
 }
 
 /// The cloud's limits.
@@ -329,11 +357,12 @@
 
     /// Parses and checks the text of a settings file.
     pub fn parse(text: &str, path: &str) -> Result<Self, ConfigError> {
-        let config: Config = toml::from_str(text).map_err(|e| ConfigError::Toml {
+        let mut config: Config = toml::from_str(text).map_err(|e| ConfigError::Toml {
             path: path.to_owned(),
             message: one_line(&e, text),
         })?;
         config.check()?;
+        config.deployment.state.lowered();
         Ok(config)
     }
 
@@ -363,6 +392,22 @@
             ("deployment.limits.cores", d.limits.cores),
             ("deployment.limits.ram_mb", d.limits.ram_mb),
         ];
+        let next = d.state.next.as_ref();
+        let positive = positive.into_iter().chain(
+            [
+                ("deployment.state.next.rps", next.and_then(|n| n.rps)),
+                (
+                    "deployment.state.next.write_rps",
+                    next.and_then(|n| n.write_rps),
+                ),
+                (
+                    "deployment.state.next.value_kb",
+                    next.and_then(|n| n.value_kb),
+                ),
+            ]
+            .into_iter()
+            .filter_map(|(field, value)| Some((field, value?))),
+        );
         for (field, value) in positive {
             if !(value.is_finite() && value > 0.0) {
                 return Err(wrong(field, format!("{value} is not above zero")));
@@ -377,6 +422,9 @@
         if d.state.txn_ops == 0 {
             return Err(wrong("deployment.state.txn_ops", "is zero"));
         }
+        if next.is_some_and(|n| n.txn_ops == Some(0)) {
+            return Err(wrong("deployment.state.next.txn_ops", "is zero"));
+        }
         if d.limits.max_sockets < SOCKETS_MIN {
             return Err(wrong(
                 "deployment.limits.max_sockets",
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::expect::Expected;
 use crate::fleet::{Fleet, Slot, SlotKey, cache_of};
+use crate::graph;
 use crate::pricing::{Amount, Rule};
 use crate::rt::{Pause, Time};
 use crate::runlog::{RunLog, Told, Writer};
@@ -115,6 +116,8 @@
     /// The part of the open machines that has or fetches each image.
     pub(crate) image_spread: HashMap<Rc<str>, f64>,
     pub(crate) zones: Zones,
+    /// The time of day at moment 0, in milliseconds.
+    pub unix_ms_at_zero: Option<u64>,
 }
 
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
@@ -184,7 +187,8 @@
             last_report: now,
             pause: Pause::default(),
             image_spread: HashMap::new(),
-            zones: Zones::new(view.stand_ins.keys().cloned().collect()),
+            zones: Zones::new(view.stand_ins.keys().chain(&view.loose).cloned().collect()),
+            unix_ms_at_zero: None,
             config,
         };
         let mut jobs: Vec<_> = view.jobs.iter().collect();
@@ -235,6 +239,9 @@
             stored.order,
             stored.seen.unwrap_or(now),
         );
+        job.since = stored.ready.unwrap_or(job.submitted);
+        job.waits = stored.waits;
+        job.parts = stored.parts;
         job.ended = stored.end.map(|e| e.end);
         job.end_stored = stored.end.is_some();
         let ix = self.next_job;
@@ -285,14 +292,89 @@
         }
         let job = &self.jobs[&ix];
         if !ended && job.done == job.spec.tasks {
-            self.finish(ix);
+            self.finish(ix, End::Done);
+        } else if !ended && stored.needs_cancelled {
+            self.finish(ix, End::Cancelled);
         }
         self.wake_job(ix);
         self.maybe_settle(ix);
+        if !self.jobs[&ix].waits {
+            self.note_arrival(ix);
+        }
+        self.pass_back(ix);
+        self.changed = true;
+    }
+
+    /// All that a job waited for is stored as done. Only that lets it begin: this leader's own count is not
+    /// enough, as a withdrawal may have come first.
+    pub fn on_ready(&mut self, id: &str, now: Time) {
+        let Some(ix) = self.job_ix(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&ix).filter(|j| j.waits) else {
+            return;
+        };
+        job.waits = false;
+        job.since = now;
+        self.wake_job(ix);
         self.note_arrival(ix);
         self.changed = true;
     }
 
+    /// A job that this one needs, directly or through others, is cancelled: its own end follows, to be
+    /// stored as there is time for it.
+    pub fn on_need_cancelled(&mut self, id: &str) {
+        let open = |ix: &JobIx| self.jobs.get(ix).is_some_and(|j| j.ended.is_none());
+        if let Some(ix) = self.job_ix(id).filter(open) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
+                job.waits = false;
+            }
+            self.finish(ix, End::Cancelled);
+        }
+    }
+
+    /// What a job asks for is asked of all that it needs: its priority, and its deadline less the time that it
+    /// takes itself.
+    fn pass_back(&mut self, ix: JobIx) {
+        if self.jobs[&ix].spec.waits_on.is_empty() {
+            return;
+        }
+        let asks: RefCell<&mut Lead> = RefCell::new(self);
+        let needs = |ix: JobIx| -> Vec<JobIx> {
+            let lead = asks.borrow();
+            let ids = lead.jobs[&ix].spec.waits_on.iter();
+            ids.filter_map(|id| lead.job_ix(id)).collect()
+        };
+        let raise = |need: JobIx, by: JobIx| -> bool {
+            let mut lead = asks.borrow_mut();
+            let job = &lead.jobs[&by];
+            let (priority, needed_by) = (job.spec.priority, lead.done_by(job) - lead.run_s(job));
+            let Some(need) = lead.jobs.get_mut(&need).filter(|j| j.ended.is_none()) else {
+                return false;
+            };
+            let more = need.spec.priority < priority || need.needed_by > needed_by;
+            if need.spec.priority < priority {
+                Rc::make_mut(&mut need.spec).priority = priority;
+            }
+            need.needed_by = need.needed_by.min(needed_by);
+            more
+        };
+        graph::pass_back(ix, needs, raise);
+        self.changed = true;
+    }
+
+    /// By when a job must be done, by its own deadline and those of the jobs that need it.
+    fn done_by(&self, job: &Job) -> Time {
+        let own = job.spec.deadline_s.map(|s| job.submitted + s);
+        own.unwrap_or(f64::INFINITY).min(job.needed_by)
+    }
+
+    /// The time of day of a moment, if it is known.
+    fn unix_ms(&self, now: Time) -> Option<u64> {
+        self.unix_ms_at_zero
+            .map(|zero| zero + (now * 1000.0) as u64)
+    }
+
     /// A job's end was stored, by whoever.
     pub fn on_end(&mut self, id: &str, end: &EndRecord, now: Time) {
         let Some(ix) = self.job_ix(id) else {
@@ -392,7 +474,7 @@
         }
         let job = &self.jobs[&key.job];
         if job.done == job.spec.tasks {
-            self.finish(key.job);
+            self.finish(key.job, End::Done);
         } else {
             // A gang is done as a whole: only an array comes here.
             self.mark_dirty(key.job, key.task, false, now);
@@ -404,13 +486,13 @@
     pub(crate) fn end_all(&mut self) {
         let all: Vec<JobIx> = self.jobs.keys().copied().collect();
         for ix in all {
-            self.finish(ix);
+            self.finish(ix, End::Done);
         }
     }
 
-    fn finish(&mut self, ix: JobIx) {
+    fn finish(&mut self, ix: JobIx, end: End) {
         if let Some(job) = self.jobs.get_mut(&ix) {
-            job.ended = Some(End::Done);
+            job.ended = Some(end);
         }
         self.active.remove(&ix);
         self.dirty.remove(&ix);
@@ -491,7 +573,7 @@
     /// Puts a job among those to be placed, if tasks of it wait.
     pub(crate) fn wake_job(&mut self, ix: JobIx) {
         let job = &self.jobs[&ix];
-        if job.ended.is_none() && job.pending() > 0 {
+        if job.ended.is_none() && !job.waits && job.pending() > 0 {
             self.active.insert(ix);
         }
     }
@@ -613,8 +695,9 @@
             }
             let job = &self.jobs[ix];
             let record = EndRecord {
-                end: End::Done,
+                end: job.ended.unwrap_or(End::Done),
                 done: job.done,
+                at_ms: self.unix_ms(now),
             };
             txn.conditions.push(Condition {
                 key: key::end(&job.id),
@@ -875,6 +958,9 @@
             self.settled.remove(&ix);
             if let Some(job) = self.jobs.remove(&ix) {
                 self.by_id.remove(&job.id);
+                for part in 1..=job.parts {
+                    self.zones.clear_away(key::needs(&job.id, part));
+                }
             }
             self.active.remove(&ix);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod election;
 pub mod expect;
 pub mod fleet;
+pub mod graph;
 pub mod http;
 pub mod images;
 pub mod lead;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -111,7 +111,7 @@
         }
         // What changed between the pages comes with the watch that begins at the first.
         fresh.revision = first.unwrap_or(0);
-        fresh.drop_stale();
+        fresh.complete(self.now(), self.rt.unix_ms());
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
         self.view_was_current(began);
@@ -129,6 +129,11 @@
             for (id, job) in &view.jobs {
                 // One that is over may still be on machines, and count there.
                 lead.enter_job(id, job, now);
+                if job.needs_cancelled {
+                    lead.on_need_cancelled(id);
+                } else if !job.waits {
+                    lead.on_ready(id, job.ready.unwrap_or(now));
+                }
                 if let Some(end) = &job.end {
                     lead.on_end(id, end, now);
                 }
@@ -188,7 +193,9 @@
                     if let Some(job) = view.jobs.get_mut(&id)
                         && let Some(spec) = &job.spec
                     {
-                        self.expected.borrow_mut().note(spec, now);
+                        if !job.waits {
+                            self.expected.borrow_mut().note(spec, now);
+                        }
                         job.seen.get_or_insert(now);
                     }
                     if let Some(lead) = lead.as_mut()
@@ -228,6 +235,22 @@
                 }
                 Some(view::Change::Types) | None => {}
             }
+            let moved = view.take_moved(now);
+            for id in &moved.ready {
+                if let Some(spec) = view.jobs.get(id).and_then(|j| j.spec.as_ref()) {
+                    self.expected.borrow_mut().note(spec, now);
+                }
+                if let Some(lead) = lead.as_mut() {
+                    lead.on_ready(id, now);
+                    self.work.set();
+                }
+            }
+            for id in &moved.cancelled {
+                if let Some(lead) = lead.as_mut() {
+                    lead.on_need_cancelled(id);
+                    self.work.set();
+                }
+            }
         }
         view.revision = view.revision.max(events.revision);
         self.moved.beat();
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -137,6 +137,7 @@
             self.expected.clone(),
             now,
         );
+        lead.unix_ms_at_zero = Some(self.rt.unix_ms().saturating_sub((now * 1000.0) as u64));
         let within = self.config.deployment.workers.lease_s;
         let mut known: Vec<WorkerSeen> = self.peers.workers(now, within);
         known.extend(
@@ -309,7 +310,7 @@
         let view = self.view.borrow();
         split_task(task)
             .and_then(|(id, _)| view.jobs.get(id))
-            .is_some_and(|job| job.end.is_some())
+            .is_some_and(|job| job.is_over())
     }
 
     pub(super) async fn send_direct(
--- a/src/node/meetings.rs
+++ b/src/node/meetings.rs
@@ -503,7 +503,9 @@
                 // A session ends: what it had starts anew elsewhere.
                 w.all_workers()[0].mute_until.set(w.now() + 24.0);
             }
-            for k in w.all_workers() {
+            // Of one machine at a time: the others could be given what it seems to have lost.
+            let all = w.all_workers();
+            for k in [&all[step / 2 % all.len()]] {
                 let reports = k.reports.borrow().clone();
                 turn = (turn * 31 + 7) % 1009;
                 for old in [&reports[0], &reports[turn % reports.len()]] {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -2,17 +2,18 @@
 
 use std::rc::Rc;
 
-use serde_json::value::to_raw_value;
+use serde_json::value::{RawValue, to_raw_value};
 
 use super::{
     Node, RETRY_S, STATE_LOST_REPORTS, STATE_LOST_S_MAX, STATE_PAUSE_S, USER_PACE_RISE,
     USER_WRITE_S, USER_WRITES_MAX,
 };
 use crate::api::{is_job_id, job_answer, never_runs, parse_submission};
+use crate::config::StateLimits;
 use crate::http::{Request, Response};
 use crate::lead::TxnOutcome;
-use crate::view::{End, EndRecord, JobView, key};
-use crate::wire::{self, Condition, Submission, Txn, path};
+use crate::view::{End, EndRecord, JobRecord, JobView, key};
+use crate::wire::{self, Condition, Kind, Submission, Txn, path};
 
 impl Node {
     pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response {
@@ -60,7 +61,7 @@
     /// The job's view if it can be told right away: the end never changes.
     pub(super) fn final_state(&self, id: &str, status: u16) -> Option<Response> {
         let view = self.view.borrow();
-        let job = view.jobs.get(id).filter(|j| j.end.is_some())?;
+        let job = view.jobs.get(id).filter(|j| j.is_over())?;
         Some(job_answer(status, id, job))
     }
 
@@ -115,8 +116,27 @@
         if let Some(reason) = never_runs(&job, &self.config, &types) {
             return Response::error(422, &reason);
         }
-        let Some(txn) = creation(&job) else {
-            return Response::error(400, "not storable");
+        if !job.waits_on.is_empty() {
+            // Whether an id was accepted is known only after a read that began after the question came.
+            if !self.barrier().await {
+                return Response::later(503, "state not known now", RETRY_S);
+            }
+            let known = self
+                .view
+                .borrow()
+                .jobs
+                .get(job.id.as_str())
+                .is_some_and(JobView::is_known);
+            if known {
+                return self.tell(&job.id, 200);
+            }
+            if let Some(reason) = self.waits_in_vain(&job) {
+                return Response::error(422, &reason);
+            }
+        }
+        let state = &self.config.deployment.state;
+        let Some(txn) = creation(&job, self.rt.unix_ms(), state) else {
+            return Response::error(422, "larger than the state service can store");
         };
         match self.user_write(&txn).await {
             // While the answer was under way another node may have told its end.
@@ -128,6 +148,21 @@
         }
     }
 
+    /// Why a job could never begin for what it waits on, if so.
+    fn waits_in_vain(&self, job: &Submission) -> Option<String> {
+        let view = self.view.borrow();
+        job.waits_on.iter().find_map(|id| {
+            let need = view.jobs.get(id.as_str()).filter(|j| j.is_known());
+            match need {
+                None => Some(format!("WaitsOn: {id} was never submitted")),
+                Some(need) if need.spec.as_ref().is_some_and(|s| s.kind == Kind::Service) => {
+                    Some(format!("WaitsOn: {id} is never done"))
+                }
+                Some(_) => None,
+            }
+        })
+    }
+
     pub(super) async fn withdraw(&self, id: &str) -> Response {
         if !is_job_id(id) {
             return Response::error(404, "no such job");
@@ -142,13 +177,14 @@
             let view = self.view.borrow();
             match view.jobs.get(id).filter(|j| j.is_known()) {
                 None => return Response::error(404, "no such job"),
-                Some(job) if job.end.is_some() => return job_answer(200, id, job),
+                Some(job) if job.is_over() => return job_answer(200, id, job),
                 Some(job) => (job.order, job.done()),
             }
         };
         let record = EndRecord {
             end: End::Cancelled,
             done,
+            at_ms: Some(self.rt.unix_ms()),
         };
         let Ok(value) = to_raw_value(&record) else {
             return Response::error(500, "not storable");
@@ -232,15 +268,50 @@
     }
 }
 
-/// Stores a job, if neither it nor its end is there.
-fn creation(job: &Submission) -> Option<Txn> {
+/// Stores a job, if neither it nor its end is there. One that waits on more jobs than fit into a value tells of
+/// the rest in others, stored with it. None if it can't be stored.
+fn creation(job: &Submission, at_ms: u64, limits: &StateLimits) -> Option<Txn> {
+    let value_max = (limits.value_kb * 1024.0) as usize;
+    let mut record = JobRecord {
+        spec: job.clone(),
+        at_ms: Some(at_ms),
+        parts: 0,
+    };
+    let mut own = to_raw_value(&record).ok()?;
+    if own.get().len() > value_max {
+        let ids = std::mem::take(&mut record.spec.waits_on);
+        let quoted = ids.iter().map(|id| id.len() + 3).max()?;
+        let per_part = value_max.saturating_sub(2) / quoted;
+        let parts: Vec<&[String]> = ids.chunks(per_part.max(1)).collect();
+        record.parts = u32::try_from(parts.len()).ok()?;
+        own = to_raw_value(&record).ok()?;
+        let parts: Vec<Box<RawValue>> = parts.iter().filter_map(|p| to_raw_value(p).ok()).collect();
+        return (own.get().len() <= value_max && parts.len() < limits.txn_ops).then(|| {
+            let rest = (1..)
+                .zip(parts)
+                .map(|(part, value)| (key::needs(&job.id, part), value));
+            stored_together(
+                &job.id,
+                std::iter::once((key::job(&job.id), own)).chain(rest),
+            )
+        });
+    }
+    Some(stored_together(
+        &job.id,
+        std::iter::once((key::job(&job.id), own)),
+    ))
+}
+
+fn stored_together(id: &str, values: impl Iterator<Item = (String, Box<RawValue>)>) -> Txn {
     let absent = |key| Condition { key, version: 0 };
-    Some(Txn {
-        conditions: vec![absent(key::job(&job.id)), absent(key::end(&job.id))],
-        changes: vec![wire::Change::Put {
-            key: key::job(&job.id),
-            value: to_raw_value(job).ok()?,
-            lease: None,
-        }],
-    })
+    Txn {
+        conditions: vec![absent(key::job(id)), absent(key::end(id))],
+        changes: values
+            .map(|(key, value)| wire::Change::Put {
+                key,
+                value,
+                lease: None,
+            })
+            .collect(),
+    }
 }
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 #[cfg(test)]
 pub(crate) mod pipe;
@@ -25,6 +25,9 @@
 pub trait Clock {
     /// The present moment.
     fn now(&self) -> Time;
+
+    /// The time of day in milliseconds.
+    fn unix_ms(&self) -> u64;
 }
 
 /// The machine's steady clock.
@@ -41,6 +44,11 @@
     fn now(&self) -> Time {
         self.0.elapsed().as_secs_f64()
     }
+
+    fn unix_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        since.map_or(0, |d| d.as_millis() as u64)
+    }
 }
 
 #[derive(Default)]
@@ -182,6 +190,11 @@
         self.0.clock.now()
     }
 
+    /// The time of day in milliseconds, as far as this machine's clock tells.
+    pub fn unix_ms(&self) -> u64 {
+        self.0.clock.unix_ms()
+    }
+
     /// Waits for `seconds`.
     pub fn sleep(&self, seconds: f64) -> Sleep {
         Sleep {
--- a/src/rt/pipe.rs
+++ b/src/rt/pipe.rs
@@ -14,6 +14,9 @@
 /// Turns of the loop without the clock moving after which a routine runs wild.
 const TURNS_MAX: u32 = 100_000;
 
+/// The time of day when the clock starts.
+const UNIX_MS: u64 = 1_796_000_000_000;
+
 /// A clock that is set by hand.
 struct HandClock(Rc<Cell<Time>>);
 
@@ -21,6 +24,10 @@
     fn now(&self) -> Time {
         self.0.get()
     }
+
+    fn unix_ms(&self) -> u64 {
+        UNIX_MS + (self.0.get() * 1000.0) as u64
+    }
 }
 
 /// Counts the polls of a routine: a turn of the loop without any has nothing more to do.
--- a/src/scenarios/direct.rs
+++ b/src/scenarios/direct.rs
@@ -97,6 +97,7 @@
     let end = EndRecord {
         end: End::Cancelled,
         done: 0,
+        at_ms: None,
     };
     store.put(key::end("j-1"), &end);
     lead.on_end("j-1", &end, 3.5);
--- a/src/scenarios/tasks.rs
+++ b/src/scenarios/tasks.rs
@@ -118,6 +118,7 @@
         let end = EndRecord {
             end: End::Cancelled,
             done: 0,
+            at_ms: None,
         };
         if user_first {
             store.put(key::end("j-1"), &end);
@@ -151,6 +152,7 @@
     let end = EndRecord {
         end: End::Cancelled,
         done: 0,
+        at_ms: None,
     };
     store.put(key::end("j-1"), &end);
     lead.on_end("j-1", &end, 3.0);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -242,11 +242,21 @@
                 },
             };
             longest = longest.max(within);
-            let at = job.since + within - takes_s;
+            // An owner's deadline counts from the submission, however long the job waited.
+            let from = if o.kind == "deadline" {
+                job.submitted
+            } else {
+                job.since
+            };
+            let at = from + within - takes_s;
             if at > now {
                 next = next.min(at);
             }
         }
+        let at = job.needed_by - run_s;
+        if at > now {
+            next = next.min(at);
+        }
         next.min(job.since + longest * OVERDUE)
     }
 
@@ -274,7 +284,7 @@
             let mut ixs: Vec<(&JobIx, &Job)> = self
                 .jobs
                 .iter()
-                .filter(|(_, j)| j.ended.is_none())
+                .filter(|(_, j)| j.ended.is_none() && !j.waits)
                 .collect();
             ixs.sort_by_key(|(_, j)| j.order);
             unfinished.reserve(ixs.len());
@@ -293,7 +303,7 @@
             }
         }
         let fleet: f64 = self.fleet.machines.values().map(|m| m.capacity.cpus).sum();
-        let mut order: Vec<(usize, bool, bool, u64, u64, JobIx)> = self
+        let mut order: Vec<(usize, bool, bool, i64, u64, JobIx)> = self
             .active
             .iter()
             .filter_map(|ix| {
@@ -303,7 +313,7 @@
                         3 - rank(job.spec.priority),
                         !self.gathers(job, now),
                         !within.get(ix).copied().unwrap_or(false),
-                        ((self.due(job, now) + self.size_s(job, fleet)).max(0.0) * 1000.0) as u64,
+                        ((self.due(job, now) + self.size_s(job, fleet)) * 1000.0) as i64,
                         job.order,
                         *ix,
                     )
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -50,6 +50,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        waits_on: Vec::new(),
     }
 }
 
@@ -109,7 +110,7 @@
             view.apply(key, Some(value), *version);
         }
         view.revision = self.revision;
-        view.drop_stale();
+        view.complete(0.0, 0);
         view
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use crate::graph::{Graph, Moved, Standing};
 use crate::rt::Time;
 use crate::wire::{JobState, JobStatus, MachineType, Submission};
 
@@ -42,6 +43,10 @@
     pub fn job(id: &str) -> String {
         format!("{ROOT}job/{id}")
     }
+    /// A part of the jobs that a job waits on, if these don't fit into its own value.
+    pub fn needs(id: &str, part: u32) -> String {
+        format!("{ROOT}needs/{id}/{part}")
+    }
     /// How a job ended.
     pub fn end(id: &str) -> String {
         format!("{ROOT}end/{id}")
@@ -85,6 +90,23 @@
     pub sessions: Vec<(String, u64)>,
 }
 
+/// A job as accepted. What earlier versions stored has no time, and they ignore it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(flatten)]
+    pub spec: Submission,
+    /// Time of day, in milliseconds: a new leader counts deadlines from then.
+    #[serde(rename = "AtMs", default, skip_serializing_if = "Option::is_none")]
+    pub at_ms: Option<u64>,
+    /// Values under [`key::needs`] with the rest of the jobs that it waits on: a value's size is limited.
+    #[serde(rename = "Parts", default, skip_serializing_if = "is_none")]
+    pub parts: u32,
+}
+
+fn is_none(n: &u32) -> bool {
+    *n == 0
+}
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
@@ -100,6 +122,9 @@
     pub end: End,
     /// How many tasks were done.
     pub done: u32,
+    /// Time of day, in milliseconds, unless an earlier version wrote it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at_ms: Option<u64>,
 }
 
 /// What became of tasks of many jobs, written compactly: much must fit into one value.
@@ -163,7 +188,19 @@
     pub order: u64,
     /// When this controller came to know it, if it was there at the time.
     pub seen: Option<Time>,
+    /// Time of day of its submission, in milliseconds, as stored.
+    pub at_ms: Option<u64>,
     pub end: Option<EndRecord>,
+    /// It waits for others.
+    pub waits: bool,
+    /// When it began to wait for nothing, if it waited.
+    pub ready: Option<Time>,
+    /// A job that it needs is cancelled, directly or through others: so is this one, though its own end is
+    /// not stored yet. It never began, and that never changes.
+    pub needs_cancelled: bool,
+    /// Values that tell of more jobs that it waits on, and how many of them are not known yet.
+    pub parts: u32,
+    parts_missing: u32,
     /// Tasks that the log tells of, with the number of the value that does.
     pub tasks: BTreeMap<u32, (u64, Mark)>,
     done: u32,
@@ -179,6 +216,11 @@
         }
     }
 
+    /// Whether its final state is known.
+    pub fn is_over(&self) -> bool {
+        self.end.is_some() || self.needs_cancelled
+    }
+
     /// Whether a user was or may have been told that the job is accepted.
     pub fn is_known(&self) -> bool {
         self.spec.is_some() || self.end.is_some()
@@ -200,7 +242,9 @@
         }
         JobStatus {
             id,
-            state: if self.on_machines > 0 {
+            state: if self.needs_cancelled {
+                JobState::Cancelled
+            } else if self.on_machines > 0 {
                 JobState::Running
             } else {
                 JobState::Queued
@@ -279,6 +323,12 @@
     pub log: BTreeSet<u64>,
     /// The oldest value of the log that counts, as far as known.
     pub oldest: u64,
+    /// Which jobs wait on which.
+    graph: Graph,
+    /// Whether all is read: before that, what jobs wait on may not be known yet.
+    whole: bool,
+    /// Parts of jobs that are gone.
+    pub loose: BTreeSet<String>,
 }
 
 impl View {
@@ -316,14 +366,21 @@
                         let job = self.jobs.entry(id.clone()).or_default();
                         // A job that is over may still be on machines, and count against its team's
                         // limit: read anew, in the order of names, its end comes first.
-                        if job.spec.is_none() {
-                            job.spec = parse(value).map(Rc::new);
+                        if job.spec.is_none()
+                            && let Some(record) = parse::<JobRecord>(value)
+                        {
+                            job.at_ms = record.at_ms;
+                            job.waits = !record.spec.waits_on.is_empty() || record.parts > 0;
+                            (job.parts, job.parts_missing) = (record.parts, record.parts);
+                            job.spec = Some(Rc::new(record.spec));
                             job.order = version;
+                            self.enter_graph(&id);
                         }
                     }
                     None => {
                         let job = self.jobs.get_mut(&id)?;
                         job.spec = None;
+                        job.waits = false;
                         job.forget_tasks();
                         if !job.is_known() {
                             self.jobs.remove(&id);
@@ -336,8 +393,33 @@
                 let id: Rc<str> = rest.into();
                 let record = parse::<EndRecord>(value?)?;
                 self.jobs.entry(id.clone()).or_default().end = Some(record);
+                if self.whole {
+                    self.graph.ended(&id, record.end == End::Done);
+                }
                 Some(Change::End(id))
             }
+            "needs" => {
+                let (id, _) = rest.split_once('/')?;
+                let job = self.jobs.get_mut(id).filter(|j| j.spec.is_some());
+                match (job, value) {
+                    (Some(job), Some(value)) if job.parts_missing > 0 => {
+                        job.parts_missing -= 1;
+                        let more: Vec<String> = parse(value)?;
+                        if let Some(spec) = &mut job.spec {
+                            Rc::make_mut(spec).waits_on.extend(more);
+                        }
+                        self.enter_graph(&id.into());
+                    }
+                    (None, Some(_)) => {
+                        self.loose.insert(key.to_owned());
+                    }
+                    (_, None) => {
+                        self.loose.remove(key);
+                    }
+                    _ => {}
+                }
+                None
+            }
             "run" => {
                 let number: u64 = rest.parse().ok()?;
                 match value {
@@ -359,9 +441,83 @@
         }
     }
 
+    /// Notes on whom a job waits, once all of that is known.
+    fn enter_graph(&mut self, id: &Rc<str>) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(spec) = job.spec.as_ref().filter(|_| self.whole && job.waits) else {
+            return;
+        };
+        if job.end.is_some() || job.parts_missing > 0 {
+            return;
+        }
+        let jobs = &self.jobs;
+        self.graph.add(id, &spec.waits_on, |need| {
+            match jobs.get(need).and_then(|j| j.end) {
+                None => Standing::Open,
+                Some(end) if end.end == End::Done => Standing::Done,
+                Some(_) => Standing::Cancelled,
+            }
+        });
+    }
+
+    /// What changed for jobs that wait since this was last asked.
+    pub fn take_moved(&mut self, now: Time) -> Moved {
+        let moved = self.graph.take_moved();
+        for id in &moved.ready {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.waits = false;
+                job.ready = Some(now);
+            }
+        }
+        for id in &moved.cancelled {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.waits = false;
+                job.needs_cancelled = true;
+            }
+        }
+        moved
+    }
+
+    /// Everything is read: what follows from it is worked out. Jobs were accepted after those that they wait on.
+    /// Times of day tell how long ago things were, as far as the clocks agree.
+    pub fn complete(&mut self, now: Time, unix_ms: u64) {
+        self.drop_stale();
+        self.whole = true;
+        let mut waiting: Vec<(u64, Rc<str>)> = Vec::new();
+        let ago = |at_ms: u64| now - unix_ms.saturating_sub(at_ms) as f64 / 1000.0;
+        for (id, job) in &mut self.jobs {
+            if job.spec.is_none() || job.end.is_some() {
+                continue;
+            }
+            job.seen = job.at_ms.map(ago);
+            if job.waits {
+                waiting.push((job.order, id.clone()));
+            }
+        }
+        waiting.sort_unstable();
+        for (_, id) in &waiting {
+            self.enter_graph(id);
+        }
+        for id in self.take_moved(now).ready {
+            let Some(spec) = self.jobs.get(&id).and_then(|j| j.spec.clone()) else {
+                continue;
+            };
+            let ends = spec
+                .waits_on
+                .iter()
+                .filter_map(|n| self.jobs.get(n.as_str())?.end);
+            let last = ends.map(|end| end.at_ms).max().flatten();
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.ready = last.map(ago).or(job.ready);
+            }
+        }
+    }
+
     /// Drops what only values of the log that no longer count say: pages come in the order of names,
     /// and which these are may be known by the last.
-    pub fn drop_stale(&mut self) {
+    fn drop_stale(&mut self) {
         for job in self.jobs.values_mut() {
             job.drop_stale(self.oldest);
         }
@@ -452,7 +608,7 @@
         fresh.apply(&key::job("j-1"), Some(&raw(&spec)), 1);
         fresh.apply(&key::run(8), Some(&raw(old)), 6);
         fresh.apply(&key::run(10), Some(&raw(newest)), 4);
-        fresh.drop_stale();
+        fresh.complete(0.0, 0);
         assert_eq!(shown(&fresh), (1, 0));
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -108,6 +108,18 @@
     pub save_s: f64,
     #[serde(rename = "DueS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(
+        rename = "WaitsOn",
+        default,
+        deserialize_with = "null_is_empty",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub waits_on: Vec<String>,
+}
+
+fn null_is_empty<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<String>, D::Error> {
+    Ok(Option::deserialize(from)?.unwrap_or_default())
 }
 
 /// A job's state as users see it.
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// A key that nobody heeds any more.
+    pub(crate) fn clear_away(&mut self, key: String) {
+        self.stale.push(key);
+    }
+
     /// What former leaders left, `most` keys at the most: no controller heeds it any more.
     pub(crate) fn take_stale(&mut self, most: usize) -> Vec<String> {
         let from = self.stale.len().saturating_sub(most);
