Jobs that wait on jobs shown by whole controllers; limits that fall; writes refused for size

- A write refused for its size was sent again unchanged for ever, and everything waited for it: now what it said is said anew in halves.
Machine types that can't be stored are kept by each controller.
- 201 for a job that names a cancelled one tells that it is cancelled.

--- a/src/config.rs
+++ b/src/config.rs
@@ -125,7 +125,7 @@
 
 impl StateLimits {
     /// The smaller limits of now and later: nothing may be stored that is too large in a moment.
-    fn lowered(&mut self) {
+    pub(crate) fn lowered(&mut self) {
         if let Some(next) = &self.next {
             self.rps = next.rps.map_or(self.rps, |n| n.min(self.rps));
             self.write_rps = next
--- a/src/lead.rs
+++ b/src/lead.rs
@@ -40,6 +40,8 @@
     Conflict(Vec<String>),
     /// Surely not carried out; may be tried again.
     Refused,
+    /// Surely not carried out, and never will be as it is: it is larger than the service takes.
+    TooLarge,
     /// It may have been carried out or may yet be.
     Unknown,
 }
@@ -118,6 +120,8 @@
     pub(crate) zones: Zones,
     /// The time of day at moment 0, in milliseconds.
     pub unix_ms_at_zero: Option<u64>,
+    /// How often the limits of what is written were halved, as the service took less than was said.
+    squeezed: u32,
 }
 
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
@@ -131,6 +135,8 @@
 const CLEARED_MAX: usize = 4;
 /// Attempts are a token and so many bits of a counter.
 const ATTEMPT_BITS: u32 = 24;
+/// The limits of what is written are halved so often at the most.
+const SQUEEZED_MAX: u32 = 5;
 /// Part of a transaction's size that is used at the most.
 const TXN_BYTES: usize = 48 * 1024;
 /// First pause of a job whose tasks fail on several machines, in report intervals, and the most.
@@ -189,6 +195,7 @@
             image_spread: HashMap::new(),
             zones: Zones::new(view.stand_ins.keys().chain(&view.loose).cloned().collect()),
             unix_ms_at_zero: None,
+            squeezed: 0,
             config,
         };
         let mut jobs: Vec<_> = view.jobs.iter().collect();
@@ -672,7 +679,7 @@
         self.write_tokens =
             (self.write_tokens + (now - self.write_refill) * rate).min(rate.max(1.0));
         self.write_refill = now;
-        let txn_ops = state.txn_ops;
+        let txn_ops = (state.txn_ops >> self.squeezed).max(2);
         let ops = (self.write_tokens as usize).min(txn_ops);
         if ops == 0 {
             return None;
@@ -776,7 +783,7 @@
     /// Fills values of the log, `most` at the most, with what is due; what isn't yet takes the room
     /// that is left.
     fn log_changes(&mut self, most: usize, now: Time) -> Vec<Writer> {
-        let value_max = (self.config.deployment.state.value_kb * 1024.0) as usize;
+        let value_max = (self.config.deployment.state.value_kb * 1024.0) as usize >> self.squeezed;
         let mut order: Vec<(Time, JobIx)> = self.dirty.iter().map(|(k, d)| (d.due, *k)).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut full: Vec<Writer> = Vec::new();
@@ -879,6 +886,13 @@
                 AfterTxn::Go
             }
             TxnOutcome::Unknown | TxnOutcome::Refused => AfterTxn::Again,
+            TxnOutcome::TooLarge => {
+                // The same again would be refused for ever, and all writes wait for this one: what it said is
+                // said anew in smaller pieces.
+                self.squeezed = (self.squeezed + 1).min(SQUEEZED_MAX);
+                self.take_back(now);
+                AfterTxn::Again
+            }
             TxnOutcome::Conflict(failed) => {
                 if failed.contains(&key::leader()) {
                     return AfterTxn::Lost;
@@ -894,25 +908,30 @@
                     return AfterTxn::ReadBack(other.clone());
                 }
                 // A user's withdrawal came first, or a copy of ours; the view will tell which.
-                let Some(flight) = self.in_flight.take() else {
-                    return AfterTxn::Go;
-                };
-                for ix in flight.ends {
+                for ix in flight.ends.clone() {
                     if failed.contains(&key::end(&self.jobs[&ix].id)) {
                         self.ends.remove(&ix);
                     }
                 }
-                for zone in &flight.zones {
-                    self.zones.stored(zone, None, now);
-                }
-                for (ix, task, _) in flight.told.into_iter().flat_map(|(_, told)| told) {
-                    self.mark_dirty(ix, task, true, now);
-                }
+                self.take_back(now);
                 AfterTxn::Go
             }
         }
     }
 
+    /// The transaction under way was not carried out: what it told is to be told anew.
+    fn take_back(&mut self, now: Time) {
+        let Some(flight) = self.in_flight.take() else {
+            return;
+        };
+        for zone in &flight.zones {
+            self.zones.stored(zone, None, now);
+        }
+        for (ix, task, _) in flight.told.into_iter().flat_map(|(_, told)| told) {
+            self.mark_dirty(ix, task, true, now);
+        }
+    }
+
     /// Whether the transaction under way was found applied at this revision; 0: it was not.
     pub fn read_back(&mut self, revision: u64, now: Time) {
         if revision > 0 {
--- a/src/node.rs
+++ b/src/node.rs
@@ -366,6 +366,8 @@
     }
 }
 
+#[cfg(test)]
+mod chains;
 #[cfg(test)]
 mod meetings;
 #[cfg(test)]
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -12,6 +12,7 @@
     SHORT_WATCH, STATE_PAUSE_S, WATCH_S,
 };
 use crate::autoscale::{CloudAnswer, CloudCall};
+use crate::lead::TxnOutcome;
 use crate::store::Followed;
 use crate::view::{self, View, key};
 use crate::wire::{self, Condition, Txn};
@@ -111,6 +112,8 @@
         }
         // What changed between the pages comes with the watch that begins at the first.
         fresh.revision = first.unwrap_or(0);
+        let known = self.view.borrow().types.clone();
+        fresh.types = fresh.types.or(known);
         fresh.complete(self.now(), self.rt.unix_ms());
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
@@ -271,6 +274,12 @@
             if let CloudAnswer::Types(types) = self.call_cloud(&CloudCall::Types).await
                 && let Ok(value) = to_raw_value(&types)
             {
+                let limit = self.config.deployment.state.value_kb * 1024.0;
+                if value.get().len() as f64 > limit {
+                    // They can't be stored: each controller asks for itself.
+                    self.view.borrow_mut().types = Some(Rc::new(types));
+                    return;
+                }
                 let txn = Txn {
                     conditions: vec![Condition {
                         key: key::types(),
@@ -282,7 +291,10 @@
                         lease: None,
                     }],
                 };
-                self.user_write(&txn).await;
+                if self.user_write(&txn).await == Some(TxnOutcome::TooLarge) {
+                    self.view.borrow_mut().types = Some(Rc::new(types));
+                    return;
+                }
                 self.barrier().await;
             }
         }
--- a/src/node/standin.rs
+++ b/src/node/standin.rs
@@ -229,7 +229,7 @@
                 self.reach(revision).await.then_some(true)
             }
             TxnOutcome::Conflict(_) => Some(false),
-            TxnOutcome::Refused | TxnOutcome::Unknown => None,
+            TxnOutcome::Refused | TxnOutcome::TooLarge | TxnOutcome::Unknown => None,
         }
     }
 
@@ -277,7 +277,9 @@
                 lease: None,
             }],
         };
-        matches!(self.user_write(&txn).await, Some(TxnOutcome::Applied(_)))
+        // One that is too large is given up: it only saves time.
+        let outcome = self.user_write(&txn).await;
+        matches!(outcome, Some(TxnOutcome::Applied(_) | TxnOutcome::TooLarge))
     }
 }
 
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -13,7 +13,9 @@
 use crate::http::{Request, Response};
 use crate::lead::TxnOutcome;
 use crate::view::{End, EndRecord, JobRecord, JobView, key};
-use crate::wire::{self, Condition, Kind, Submission, Txn, path};
+use crate::wire::{self, Condition, JobState, Kind, Submission, Txn, path};
+
+const TOO_LARGE: &str = "larger than the state service can store";
 
 impl Node {
     pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response {
@@ -136,18 +138,32 @@
         }
         let state = &self.config.deployment.state;
         let Some(txn) = creation(&job, self.rt.unix_ms(), state) else {
-            return Response::error(422, "larger than the state service can store");
+            return Response::error(422, TOO_LARGE);
         };
         match self.user_write(&txn).await {
             // While the answer was under way another node may have told its end.
-            Some(TxnOutcome::Applied(_)) => self
-                .final_state(&job.id, 200)
-                .unwrap_or_else(|| Response::json(201, &JobView::default().status(&job.id))),
+            Some(TxnOutcome::Applied(_)) => self.final_state(&job.id, 200).unwrap_or_else(|| {
+                // One that names a cancelled job is accepted, and cancelled from the start.
+                let mut fresh = JobView::default();
+                fresh.needs_cancelled = self.needs_cancelled(&job);
+                Response::json(201, &fresh.status(&job.id))
+            }),
             Some(TxnOutcome::Conflict(_)) if self.barrier().await => self.tell(&job.id, 200),
+            Some(TxnOutcome::TooLarge) => Response::error(422, TOO_LARGE),
             _ => Response::later(503, "could not be stored now", RETRY_S),
         }
     }
 
+    /// Whether a job that this one waits on is known to be cancelled.
+    fn needs_cancelled(&self, job: &Submission) -> bool {
+        let view = self.view.borrow();
+        let mut needs = job
+            .waits_on
+            .iter()
+            .filter_map(|id| view.jobs.get(id.as_str()));
+        needs.any(|need| need.status("").state == JobState::Cancelled)
+    }
+
     /// Why a job could never begin for what it waits on, if so.
     fn waits_in_vain(&self, job: &Submission) -> Option<String> {
         let view = self.view.borrow();
@@ -240,7 +256,7 @@
             let outcome = self.store.txn(txn).await;
             self.pace_users(&outcome);
             match outcome {
-                TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
+                TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) | TxnOutcome::TooLarge => {
                     self.heard_state();
                     return Some(outcome);
                 }
@@ -260,7 +276,7 @@
     pub(super) fn pace_users(&self, outcome: &TxnOutcome) {
         let share = self.user_rate / self.config.deployment.nodes as f64;
         self.user_writes.set_rate(match outcome {
-            TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) => {
+            TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) | TxnOutcome::TooLarge => {
                 (self.user_writes.rate() * USER_PACE_RISE).min(self.user_rate)
             }
             TxnOutcome::Refused | TxnOutcome::Unknown => share,
--- a/src/node/world.rs
+++ b/src/node/world.rs
@@ -49,6 +49,8 @@
 pub struct World {
     pub rt: Rt,
     pub config: Config,
+    /// What processes are started with, if that is something else.
+    pub started_with: RefCell<Option<Config>>,
     pub state: Rc<State>,
     pub cloud: Rc<Cloud>,
     pub checks: Rc<Checks>,
@@ -95,6 +97,7 @@
         let world = Rc::new(World {
             rt: rt.clone(),
             config,
+            started_with: RefCell::default(),
             state,
             cloud,
             checks,
@@ -147,7 +150,8 @@
 
     /// Starts a controller's process.
     pub fn start(&self, at: usize) {
-        let mut config = self.config.clone();
+        let other = self.started_with.borrow().clone();
+        let mut config = other.unwrap_or_else(|| self.config.clone());
         config.node = format!("n{at}");
         config.zone = ZONES[at].into();
         config.listen = front(at);
--- a/src/node/world/checks.rs
+++ b/src/node/world/checks.rs
@@ -98,6 +98,37 @@
         (0..tasks).all(|t| done.contains(&format!("{id}/{t}")))
     }
 
+    /// All that a job needs, directly or through others.
+    fn needs(&self, id: &str) -> Vec<String> {
+        let jobs = self.jobs.borrow();
+        let mut seen = BTreeSet::new();
+        let mut reached = vec![id.to_owned()];
+        while let Some(id) = reached.pop() {
+            let spec = jobs.get(&id).and_then(|k| k.spec.as_ref());
+            for need in spec.map_or(&[][..], |s| &s.waits_on) {
+                if seen.insert(need.clone()) {
+                    reached.push(need.clone());
+                }
+            }
+        }
+        seen.into_iter().collect()
+    }
+
+    /// Whether a job may be called cancelled.
+    pub fn may_be_cancelled(&self, id: &str) -> bool {
+        let asked = |id: &str| self.jobs.borrow().get(id).is_some_and(|k| k.cancel_asked);
+        asked(id) || self.needs(id).iter().any(|need| asked(need))
+    }
+
+    /// Whether a job must be called cancelled by now.
+    pub fn must_be_cancelled(&self, id: &str, now: Time) -> bool {
+        let late = |id: &str| {
+            self.told_cancelled(id)
+                .is_some_and(|at| now > at + self.cancel_s)
+        };
+        self.needs(id).iter().any(|need| late(need))
+    }
+
     fn told_cancelled(&self, id: &str) -> Option<Time> {
         let jobs = self.jobs.borrow();
         let (state, at) = jobs.get(id)?.over?;
@@ -133,6 +164,11 @@
         if !fits {
             self.broke("wrong_place", format!("{now:.1}: {task} on {name}"));
         }
+        for need in self.needs(&spec.id) {
+            if !self.is_complete(&need) || self.told_cancelled(&need).is_some() {
+                self.broke("too_early", format!("{now:.1}: {task} before {need}"));
+            }
+        }
         if let Some(at) = self.told_cancelled(&spec.id) {
             let text = format!("{now:.1}: {task} on {name}, cancelled at {at:.1}");
             if now > at + self.cancel_s {
@@ -201,7 +237,8 @@
             let waits = over.count() + on_machines < spec.tasks as usize;
             let limit = self.limits[&spec.team];
             let team = used.get(&spec.team).copied().unwrap_or(0.0);
-            let allowed = limit <= 0.0 || team + spec.cpus <= limit;
+            let ready = self.needs(id).iter().all(|need| self.is_complete(need));
+            let allowed = ready && (limit <= 0.0 || team + spec.cpus <= limit);
             let zone = |z: &str| spec.zone.as_ref().is_none_or(|own| own == z);
             let room = rooms.iter().any(|(z, room)| zone(z) && *room >= spec.cpus);
             let mut starved = self.starved.borrow_mut();
--- a/src/node/world/state.rs
+++ b/src/node/world/state.rs
@@ -61,6 +61,12 @@
     next_lease: Cell<u64>,
     pub lines: Vec<Line>,
     pub outage_until: Cell<Time>,
+    /// Bytes of a value, changes of a transaction, and changes a second.
+    pub limits: Cell<(usize, usize, f64)>,
+    /// Changes that may be made at once, and when that was counted.
+    allowance: Cell<(f64, Time)>,
+    /// Transactions that were too large.
+    pub too_large: Cell<u32>,
     moved: Pulse,
     /// Who held the office under which token.
     pub leaders: RefCell<BTreeMap<u64, usize>>,
@@ -135,6 +141,9 @@
             next_lease: Cell::new(0),
             lines: (0..NODES).map(|_| Line::default()).collect(),
             outage_until: Cell::new(0.0),
+            limits: Cell::new((8 * 1024, 16, 20.0)),
+            allowance: Cell::new((0.0, 0.0)),
+            too_large: Cell::new(0),
             moved: Pulse::default(),
             leaders: RefCell::default(),
             sent: RefCell::default(),
@@ -288,6 +297,13 @@
             return Response::error(400, "malformed");
         };
         let line = &self.lines[node];
+        if !self.fits(&txn) {
+            self.too_large.set(self.too_large.get() + 1);
+            return Response::error(400, "too large");
+        }
+        if !self.may_change(txn.changes.len()) {
+            return Response::error(429, "too many changes");
+        }
         if !txn.changes.is_empty() {
             self.sent.borrow_mut().push(txn.clone());
             if line.late_writes.get() > 0 {
@@ -312,6 +328,27 @@
         }
     }
 
+    fn fits(&self, txn: &Txn) -> bool {
+        let (bytes, changes, _) = self.limits.get();
+        let fits = |change: &Change| match change {
+            Change::Put { value, .. } => value.get().len() <= bytes,
+            Change::Delete { .. } => true,
+        };
+        let small = txn.changes.len() <= changes && txn.conditions.len() <= 4 * changes;
+        small && txn.changes.iter().all(fits)
+    }
+
+    fn may_change(&self, changes: usize) -> bool {
+        let (.., rate) = self.limits.get();
+        let now = self.rt.now();
+        let (left, at) = self.allowance.get();
+        let left = (left + (now - at) * rate).min(rate) - changes as f64;
+        let may = left >= 0.0;
+        self.allowance
+            .set((if may { left } else { left + changes as f64 }, now));
+        may
+    }
+
     fn lease(&self, method: &str, rest: &str, body: &[u8]) -> Response {
         let now = self.rt.now();
         let mut leases = self.leases.borrow_mut();
--- a/src/node/world/users.rs
+++ b/src/node/world/users.rs
@@ -71,24 +71,32 @@
         if told.state == JobState::Done && !self.checks.is_complete(id) {
             self.checks.broke("not_done", text("told done"));
         }
+        if told.state == JobState::Cancelled && !self.checks.may_be_cancelled(id) {
+            self.checks.broke("went_back", text("nobody cancelled it"));
+        }
+        let open = matches!(told.state, JobState::Queued | JobState::Running);
+        if open && self.checks.must_be_cancelled(id, now) {
+            self.checks
+                .broke("orphaned", text("a job before it is cancelled"));
+        }
         let mut jobs = self.checks.jobs.borrow_mut();
         let known = jobs.get_mut(id).unwrap();
         known.accepted.get_or_insert(now);
-        if told.state == JobState::Cancelled && !known.cancel_asked {
-            self.checks.broke("went_back", text("nobody cancelled it"));
-        }
         if matches!(told.state, JobState::Done | JobState::Cancelled) {
             known.over.get_or_insert((told.state, now));
         }
         (status, Some(told.state))
     }
 
+    /// A job will be submitted.
+    pub fn expect(&self, spec: &Submission) {
+        let mut jobs = self.checks.jobs.borrow_mut();
+        let known = jobs.entry(spec.id.clone()).or_default();
+        known.spec.get_or_insert_with(|| spec.clone());
+    }
+
     pub async fn submit(&self, node: usize, spec: &Submission) -> Answer {
-        {
-            let mut jobs = self.checks.jobs.borrow_mut();
-            let known = jobs.entry(spec.id.clone()).or_default();
-            known.spec.get_or_insert_with(|| spec.clone());
-        }
+        self.expect(spec);
         let body = serde_json::to_vec(spec).unwrap();
         self.ask_node(node, "POST", path::JOBS, Some(&body), SUBMIT_S, &spec.id)
             .await
--- a/src/store.rs
+++ b/src/store.rs
@@ -144,7 +144,7 @@
                     "transaction refused: {}",
                     String::from_utf8_lossy(&body[..body.len().min(200)])
                 );
-                TxnOutcome::Refused
+                TxnOutcome::TooLarge
             }
             Ok((status, _)) => {
                 tracing::warn!("transaction answered {status}");
