--- a/src/node/meetings.rs
+++ b/src/node/meetings.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 
 use futures_util::future::join_all;
+use serde_json::value::to_raw_value;
 
 use super::world::{NODES, Worker, World, play};
 use crate::config::Config;
 use crate::testing::job;
-use crate::wire::{JobState, Kind, Priority, Submission, TaskState};
+use crate::view::{End, EndRecord, key};
+use crate::wire::{Change, JobState, Kind, Priority, ReportTask, Submission, TaskState, Txn};
 
 /// A job whose tasks run for so long.
 fn running(id: &str, tasks: u32, run_s: f64) -> Submission {
@@ -723,7 +725,7 @@
     play(plain, async |w: Rc<World>| {
         begin(&w, 6).await;
         let mut outcomes = Vec::new();
-        for i in 0..24 {
+        for i in 0..36 {
             let id = format!("j-{i}");
             runs(&w, &running(&id, 2, 4.0)).await;
             w.until("complete", 10.0, || w.checks.is_complete(&id))
@@ -743,6 +745,42 @@
     });
 }
 
+/// The end of a job is stored between what a cancellation read and its own write: done stays done.
+#[test]
+fn a_cancellation_that_comes_after_the_stored_end_does_not_replace_it() {
+    play(plain, async |w: Rc<World>| {
+        begin(&w, 2).await;
+        runs(&w, &running("j-1", 1, 60.0)).await;
+        w.state.lines[1].slow_s.set(0.3);
+        let ends = async {
+            w.run(0.45).await;
+            w.checks.completed("j-1/0");
+            let record = EndRecord {
+                end: End::Done,
+                done: 1,
+                at_ms: None,
+            };
+            let put = Change::Put {
+                key: key::end("j-1"),
+                value: to_raw_value(&record).unwrap(),
+                lease: None,
+            };
+            w.state.apply(&Txn {
+                conditions: Vec::new(),
+                changes: vec![put],
+            });
+        };
+        let (told, ()) = futures_util::future::join(w.cancel(1, "j-1"), ends).await;
+        assert_eq!(told, (200, Some(JobState::Done)));
+        let all = w.look_closely("j-1").await;
+        assert!(
+            all.iter().all(|told| *told == (200, Some(JobState::Done))),
+            "{all:?}"
+        );
+        w.see_the_end(60.0).await;
+    });
+}
+
 /// One-task jobs come four a second for minutes, a quarter of them cancelled.
 #[test]
 fn a_stream_of_small_jobs_with_cancellations_is_all_served() {
@@ -823,29 +861,37 @@
 /// or run elsewhere once they are surely over; a cancellation reaches them in time.
 #[test]
 fn a_zone_cut_off_for_longer_than_a_lease_runs_nothing_twice() {
-    play(plain, async |w: Rc<World>| {
-        for i in 0..28 {
-            w.boot(["north", "south"][i % 2]);
-        }
-        w.start_led_by(0).await;
-        runs(&w, &running("j-1", 56, 50.0)).await;
-        runs(&w, &running("j-2", 20, 300.0)).await;
-        w.cut.set(("south", w.now() + 60.0));
-        w.run(15.0).await;
-        w.cancel_surely(0, "j-2").await;
-        w.run(w.config.deployment.workers.cancel_s).await;
-        assert_eq!(w.live("j-2"), 0);
-        assert!(
-            w.all_workers()
-                .iter()
-                .any(|k| k.fake.borrow().report.session == 1 && k.zone == "south")
-        );
-        w.see_the_end(300.0).await;
-        let over = |t: &crate::wire::ReportTask| t.state == TaskState::Exited;
-        let rest: Vec<_> = w.all_workers();
-        assert!(
-            rest.iter()
-                .all(|k| k.fake.borrow().report.tasks.iter().all(over))
-        );
-    });
+    for leader_ends in [false, true] {
+        play(plain, async move |w: Rc<World>| {
+            for i in 0..28 {
+                w.boot(["north", "south"][i % 2]);
+            }
+            w.start_led_by(0).await;
+            runs(&w, &running("j-1", 56, 100.0)).await;
+            runs(&w, &running("j-2", 20, 300.0)).await;
+            w.cut.set(("south", w.now() + 90.0));
+            w.run(15.0).await;
+            w.cancel_surely(0, "j-2").await;
+            let south = |k: &&Rc<Worker>| k.zone == "south";
+            if leader_ends {
+                // The one in the south is kept from leading by the state service for a moment.
+                w.state.refuse(1, 8.0);
+                w.kill(0);
+                w.until("led", 30.0, || w.acts(2)).await;
+                w.start(0);
+            } else {
+                let all = w.all_workers();
+                assert!(!all.iter().filter(south).any(|k| k.lost_a_session()));
+            }
+            w.run(w.config.deployment.workers.cancel_s).await;
+            assert_eq!(w.live("j-2"), 0);
+            w.see_the_end(400.0).await;
+            let over = |t: &ReportTask| t.state == TaskState::Exited;
+            let all = w.all_workers();
+            assert!(
+                all.iter()
+                    .all(|k| k.fake.borrow().report.tasks.iter().all(over))
+            );
+        });
+    }
 }
