--- a/src/lead.rs
+++ b/src/lead.rs
@@ -106,10 +106,13 @@
     log: RunLog,
     /// When a value of the log was last written.
     logged_at: Time,
+    /// Of an end and the log, the end is written next if only one can be.
+    end_next: bool,
     next_attempt: u64,
     ends: BTreeSet<JobIx>,
     settled: BTreeSet<JobIx>,
     in_flight: Option<InFlight>,
+    write_share: f64,
     write_tokens: f64,
     write_refill: Time,
     pub last_report: Time,
@@ -126,6 +129,9 @@
 
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
 pub const LEADER_WRITE_SHARE: f64 = 0.5;
+/// What users don't need it may use, as long as the store takes it.
+const LEADER_WRITE_SHARE_MAX: f64 = 0.7;
+const WRITE_SHARE_RISE: f64 = 1.02;
 /// Completions and releases may wait this long, in report intervals, to be written together.
 const LAZY_WRITE_REPORTS: f64 = 0.25;
 /// One write in so many of the leader's is for the log.
@@ -184,10 +190,12 @@
             dirty: BTreeMap::new(),
             log: RunLog::new(token, view.log.iter().copied(), view.oldest),
             logged_at: f64::NEG_INFINITY,
+            end_next: false,
             next_attempt: token << ATTEMPT_BITS,
             ends: BTreeSet::new(),
             settled: BTreeSet::new(),
             in_flight: None,
+            write_share: LEADER_WRITE_SHARE,
             write_tokens: 0.0,
             write_refill: now,
             last_report: now,
@@ -446,9 +454,7 @@
     fn mark_dirty(&mut self, ix: JobIx, task: u32, at_once: bool, now: Time) {
         let report_s = self.config.deployment.workers.report_s;
         let due = if at_once {
-            // So many values a second are enough: each takes in what came meanwhile.
-            let gap = LOG_WRITES / (self.config.deployment.state.write_rps * LEADER_WRITE_SHARE);
-            now.max(self.logged_at + gap)
+            now
         } else {
             now + report_s * LAZY_WRITE_REPORTS
         };
@@ -675,7 +681,7 @@
             return Some(flight.txn.clone());
         }
         let state = &self.config.deployment.state;
-        let rate = state.write_rps * LEADER_WRITE_SHARE;
+        let rate = state.write_rps * self.write_share;
         self.write_tokens =
             (self.write_tokens + (now - self.write_refill) * rate).min(rate.max(1.0));
         self.write_refill = now;
@@ -691,7 +697,13 @@
             }],
             changes: Vec::new(),
         };
-        let log_due = self.dirty.values().any(|d| d.due <= now);
+        let mut log_due = self.log_due_at().is_some_and(|at| at <= now);
+        if ops == 1 && log_due && !self.ends.is_empty() {
+            // One write is allowed and two are due: each has its turn. Under a low limit the log once took all
+            // of them, and the ends of jobs, with those that wait on them, came a hundred seconds late.
+            self.end_next = !self.end_next;
+            log_due = !self.end_next;
+        }
         let most = ops.saturating_sub(usize::from(log_due));
         let (conditions, changes) = (&mut txn.conditions, &mut txn.changes);
         let zones = self.zones.write(self.token, most, conditions, changes);
@@ -863,13 +875,21 @@
         (oldest, learned)
     }
 
+    /// When the log is to be written next, if it is. So many values a second are enough: each takes in what
+    /// came meanwhile. Tasks end all the time, so that something is always due: each such moment once took a
+    /// write of its own.
+    fn log_due_at(&self) -> Option<Time> {
+        let gap = LOG_WRITES / (self.config.deployment.state.write_rps * LEADER_WRITE_SHARE);
+        let first = self.dirty.values().map(|d| d.due).min_by(f64::total_cmp);
+        first.map(|due| due.max(self.logged_at + gap))
+    }
+
     /// When something lazy is due to be written, if anything is.
     pub fn next_write_at(&self) -> Option<Time> {
         if !self.ends.is_empty() || self.zones.wants_write() {
             return Some(self.began);
         }
-        let first = self.dirty.values().map(|d| d.due).min_by(f64::total_cmp);
-        match first {
+        match self.log_due_at() {
             None if !self.settled.is_empty() => Some(self.write_refill + 1.0),
             first => first,
         }
@@ -882,10 +902,15 @@
         };
         match outcome {
             TxnOutcome::Applied(revision) => {
+                self.write_share =
+                    (self.write_share * WRITE_SHARE_RISE).min(LEADER_WRITE_SHARE_MAX);
                 self.applied(revision, now);
                 AfterTxn::Go
             }
-            TxnOutcome::Unknown | TxnOutcome::Refused => AfterTxn::Again,
+            TxnOutcome::Unknown | TxnOutcome::Refused => {
+                self.write_share = LEADER_WRITE_SHARE;
+                AfterTxn::Again
+            }
             TxnOutcome::TooLarge => {
                 // The same again would be refused for ever, and all writes wait for this one: what it said is
                 // said anew in smaller pieces.
--- a/src/scenarios/writes.rs
+++ b/src/scenarios/writes.rs
@@ -242,3 +242,42 @@
         }
     }
 }
+
+/// Tasks of many jobs end all the time: under a low limit each of these moments took the only write there was, and the
+/// ends of jobs, with those that wait on them, came a hundred seconds late.
+#[test]
+fn the_log_does_not_keep_the_ends_of_jobs_waiting() {
+    let mut store = FakeStore::default();
+    let mut config = crate::config::tests::sample();
+    config.deployment.state.write_rps = 4.0;
+    config.deployment.state.txn_ops = 5;
+    config.deployment.state.value_kb = 0.3;
+    let ids: Vec<String> = (0..50).map(|i| format!("j-{i}")).collect();
+    for id in &ids {
+        store.submit(&job(id, 40));
+    }
+    store.submit(&job("j-100", 1));
+    let mut lead = store.elect_with(config, "n0", 0.0);
+    let mut waited = None;
+    for step in 0..800_u32 {
+        let now = f64::from(step) * 0.05;
+        for part in 0..2 {
+            let id = &ids[(2 * step + part) as usize % ids.len()];
+            let key = (lead.job_ix(id).unwrap(), step / 25, 1).into();
+            lead.on_task_done(key, None, now);
+        }
+        if step == 400 {
+            let key = (lead.job_ix("j-100").unwrap(), 0, 1).into();
+            lead.on_task_done(key, None, now);
+        }
+        if let Some(txn) = lead.next_txn(now) {
+            let outcome = store.apply(&txn);
+            assert_eq!(lead.txn_done(outcome, now), AfterTxn::Go);
+        }
+        if waited.is_none() && store.end("j-100").is_some() {
+            waited = Some(now - 20.0);
+        }
+    }
+    let waited = waited.expect("the end was never written");
+    assert!(waited <= 1.5, "{waited}");
+}
