--- a/src/lead.rs
+++ b/src/lead.rs
@@ -130,7 +130,7 @@
 /// Shares of the state service's write budget: the leader's own, the rest being for users.
 pub const LEADER_WRITE_SHARE: f64 = 0.5;
 /// What users don't need it may use, as long as the store takes it.
-const LEADER_WRITE_SHARE_MAX: f64 = 0.7;
+const LEADER_WRITE_SHARE_MAX: f64 = 0.85;
 const WRITE_SHARE_RISE: f64 = 1.02;
 /// Completions and releases may wait this long, in report intervals, to be written together.
 const LAZY_WRITE_REPORTS: f64 = 0.25;
