--- a/src/node/world/checks.rs
+++ b/src/node/world/checks.rs
@@ -151,7 +151,11 @@
             let here = other.live_of(&spec.id);
             zones.extend(here.iter().map(|_| other.zone.as_str()));
             if other.name != *name && here.iter().any(|t| t.task == task) {
-                let text = format!("{now:.1}: {task} on {name} and {}", other.name);
+                let text = format!(
+                    "{now:.1}: {task} on {name} and {}, {}",
+                    other.name,
+                    other.state()
+                );
                 self.broke("ran_twice", text);
             }
         }
