Leader: placement requests, queue and last report through methods; MessageError; whole names

Need: fields of the leader's state that four modules wrote (changed, active, last_report), an error named Bad and one-letter names over whole functions.

Change: request_placement, enqueue, dequeue, note_report; names. No behaviour changed.

--- a/src/autoscale.rs
+++ b/src/autoscale.rs
@@ -260,7 +260,7 @@
     /// Looks after machines: lost ones, needed ones, unneeded ones.
     pub fn tend(&mut self, now: Time) {
         // Pauses of machines and jobs end without a word.
-        self.changed = true;
+        self.request_placement();
         self.expire(now);
         self.find_lost(now);
         let report_s = self.config.deployment.workers.report_s;
@@ -438,11 +438,11 @@
             let Some(type_index) = machine.type_index else {
                 continue;
             };
-            let k = kinds.entry((type_index, machine.spot)).or_default();
-            k[usize::from(machine.is_up())] += 1.0;
-            k[2] += f64::from(u8::from(machine.draining));
+            let kind = kinds.entry((type_index, machine.spot)).or_default();
+            kind[usize::from(machine.is_up())] += 1.0;
+            kind[2] += f64::from(u8::from(machine.draining));
             if machine.is_up() {
-                k[3] += machine.used.largest_share(machine.capacity);
+                kind[3] += machine.used.largest_share(machine.capacity);
             }
         }
         let count = |f: fn(&crate::fleet::Machine) -> bool| {
--- a/src/autoscale/classes.rs
+++ b/src/autoscale/classes.rs
@@ -12,12 +12,12 @@
     pub(crate) fn note_arrival(&mut self, index: JobIndex) {
         let job = &self.jobs[&index];
         let spec = job.spec.clone();
-        let a = amount(&spec);
+        let amount_each = amount(&spec);
         let class = self
             .classes
             .entry(class_name(&spec))
             .or_insert_with(|| Class {
-                amount: a,
+                amount: amount_each,
                 job_tasks: Mean::default(),
                 estimate_s: Mean::default(),
                 deadline_s: Mean::default(),
@@ -39,9 +39,9 @@
             class.shares[at].get().unwrap_or(value)
         };
         class.amount = Amount {
-            cpus: mean(0, a.cpus),
-            gpus: mean(1, a.gpus),
-            memory_gb: mean(2, a.memory_gb),
+            cpus: mean(0, amount_each.cpus),
+            gpus: mean(1, amount_each.gpus),
+            memory_gb: mean(2, amount_each.memory_gb),
         };
     }
 
@@ -61,9 +61,10 @@
     /// Below which priority jobs may borrow machines of a type that are kept for large work: those
     /// that all such work may stop. None while large work waits for such machines.
     pub(crate) fn lend_below(&self, type_index: usize) -> Option<Priority> {
-        let t = &self.types[type_index];
-        let large =
-            |spec: &Submission| type_allowed(spec, t) && self.is_large_on(amount(spec), type_index);
+        let machine_type = &self.types[type_index];
+        let large = |spec: &Submission| {
+            type_allowed(spec, machine_type) && self.is_large_on(amount(spec), type_index)
+        };
         let waits = self
             .active
             .iter()
--- a/src/autoscale/cover.rs
+++ b/src/autoscale/cover.rs
@@ -59,7 +59,7 @@
 impl Leader {
     /// The machines that are there or coming, cheapest and fullest first.
     pub(super) fn units(&self, now: Time) -> Vec<Unit> {
-        let t = &self.config.tunables;
+        let tunables = &self.config.tunables;
         let mut units: Vec<Unit> = self
             .fleet
             .machines
@@ -68,8 +68,8 @@
             .filter(|(_, m)| !self.is_cut_off(m))
             .filter_map(|(index, m)| {
                 let type_index = m.type_index?;
-                let late =
-                    !m.is_up() && now - m.rented > self.types[type_index].boot_s * t.late_boots;
+                let late = !m.is_up()
+                    && now - m.rented > self.types[type_index].boot_s * tunables.late_boots;
                 let capacity = self.capacity_of(type_index);
                 (!late).then(|| Unit {
                     index: Some(*index),
@@ -80,8 +80,8 @@
                     price: self.unit_price(type_index, m.spot),
                     used: m.used.largest_share(capacity),
                     up: m.is_up(),
-                    has_large: m.has_large(t.large_share),
-                    has_small: !m.is_empty() && !m.has_large(t.large_share),
+                    has_large: m.has_large(tunables.large_share),
+                    has_small: !m.is_empty() && !m.has_large(tunables.large_share),
                     top: m
                         .slots
                         .iter()
@@ -229,20 +229,24 @@
     ) -> Option<(PoolKey, f64, u32)> {
         let cut_off = |zone: &str| self.zones.is_zone_cut_off(zone);
         let kinds = self.kinds(&class.spec);
-        let elsewhere = kinds.iter().any(|(t, _)| {
-            let mut zones = self.types[*t].zones.iter();
+        let elsewhere = kinds.iter().any(|(machine_type, _)| {
+            let mut zones = self.types[*machine_type].zones.iter();
             zones.any(|z| !cut_off(z) && class.spec.zone.as_ref().is_none_or(|only| only == z))
         });
         let mut best: Option<(f64, u32, PoolKey, f64, u32)> = None;
         for (type_index, spot) in kinds {
-            let t = &self.types[type_index];
+            let machine_type = &self.types[type_index];
             let per_machine = tasks_that_fit(class.amount, self.capacity_of(type_index));
             if per_machine < 1.0 || self.unit_price(type_index, spot) > limit {
                 continue;
             }
-            let each = if spot { t.spot_price } else { t.price };
+            let each = if spot {
+                machine_type.spot_price
+            } else {
+                machine_type.price
+            };
             let cost = (left / per_machine).ceil() * each;
-            for zone in &t.zones {
+            for zone in &machine_type.zones {
                 if class.spec.zone.as_ref().is_some_and(|z| z != zone)
                     || (elsewhere && cut_off(zone))
                 {
@@ -286,9 +290,13 @@
     }
 
     pub(crate) fn unit_price(&self, type_index: usize, spot: bool) -> f64 {
-        let t = &self.types[type_index];
-        let price = if spot { t.spot_price } else { t.price };
-        price / t.cpus.max(1.0)
+        let machine_type = &self.types[type_index];
+        let price = if spot {
+            machine_type.spot_price
+        } else {
+            machine_type.price
+        };
+        price / machine_type.cpus.max(1.0)
     }
 
     pub(super) fn kinds(&self, spec: &Submission) -> Vec<(usize, bool)> {
--- a/src/autoscale/scale_down.rs
+++ b/src/autoscale/scale_down.rs
@@ -9,8 +9,8 @@
     /// Machines that died, never came up, fail their tasks or are no longer heard of.
     pub(super) fn find_lost(&mut self, now: Time) {
         let w = &self.config.deployment.workers;
-        let t = &self.config.tunables;
-        let silent_s = w.report_s * t.silent_reports;
+        let tunables = &self.config.tunables;
+        let silent_s = w.report_s * tunables.silent_reports;
         let up = || {
             let machines = self.fleet.machines.values();
             machines.filter(|machine| machine.is_up() && !self.is_cut_off(machine))
@@ -25,7 +25,7 @@
         // When hardly anybody is heard any more, it is rather this node that is cut off: then
         // only the workers' leases tell.
         let trusted = heard * 2 >= up().count()
-            && (heard < 2 || now - self.last_report < w.report_s * HEARING_REPORTS);
+            && (heard < 2 || now - self.last_report() < w.report_s * HEARING_REPORTS);
         let mute = self.is_mute();
         let doubt_s = self.doubt_s();
         let mut lost = Vec::new();
@@ -35,7 +35,7 @@
             }
             let boot_s = machine
                 .type_index
-                .map_or(w.lease_s, |t| self.types[t].boot_s);
+                .map_or(w.lease_s, |tunables| self.types[tunables].boot_s);
             let gone = if machine.suspect {
                 machine
                     .slots
@@ -59,7 +59,7 @@
             } else if let Some(up_at) = machine.listed_running {
                 trusted && self.silent_s(up_at.max(self.began), now) > silent_s
             } else if machine.listed_at.is_some() || machine.type_index.is_some() {
-                now - machine.rented > boot_s * t.lost_boots
+                now - machine.rented > boot_s * tunables.lost_boots
             } else {
                 // Known only from a former leader's notes.
                 trusted && self.silent_s(self.began, now) > silent_s
--- a/src/config/tunables.rs
+++ b/src/config/tunables.rs
@@ -82,21 +82,21 @@
             .set_mode(mlua::chunk::ChunkMode::Text)
             .eval()
             .map_err(fail)?;
-        let mut t = Tunables::default();
+        let mut tunables = Tunables::default();
         for pair in table.pairs::<String, mlua::Value>() {
             let (name, value) = pair.map_err(fail)?;
             if name == "weights" {
-                t.read_weights(&value)?;
+                tunables.read_weights(&value)?;
                 continue;
             }
             let slot = match name.as_str() {
-                "rho" => &mut t.rho,
-                "large_share" => &mut t.large_share,
-                "silent_reports" => &mut t.silent_reports,
-                "spare_ratio" => &mut t.spare_ratio,
-                "idle_ratio" => &mut t.idle_ratio,
-                "late_boots" => &mut t.late_boots,
-                "lost_boots" => &mut t.lost_boots,
+                "rho" => &mut tunables.rho,
+                "large_share" => &mut tunables.large_share,
+                "silent_reports" => &mut tunables.silent_reports,
+                "spare_ratio" => &mut tunables.spare_ratio,
+                "idle_ratio" => &mut tunables.idle_ratio,
+                "late_boots" => &mut tunables.late_boots,
+                "lost_boots" => &mut tunables.lost_boots,
                 _ => return Err(ConfigError::Script(format!("{name}: no such tunable"))),
             };
             *slot = match value {
@@ -105,8 +105,8 @@
                 _ => return Err(ConfigError::Script(format!("{name}: not a number"))),
             };
         }
-        t.check()?;
-        Ok(t)
+        tunables.check()?;
+        Ok(tunables)
     }
 
     fn read_weights(&mut self, value: &mlua::Value) -> Result<(), ConfigError> {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -491,6 +491,6 @@
             self.off(index, key, now);
         }
         self.fleet.remove(index);
-        self.changed = true;
+        self.request_placement();
     }
 }
--- a/src/fleet/commands.rs
+++ b/src/fleet/commands.rs
@@ -151,7 +151,7 @@
         match outcome {
             DirectOutcome::Done(report) | DirectOutcome::Refused(report) => {
                 if report.token <= self.token {
-                    self.last_report = now;
+                    self.note_report(now);
                     self.on_report(&report, Source::Direct, now);
                 }
             }
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -24,7 +24,7 @@
         }
         let index = self.fleet.enter(&report.machine, &report.zone, now);
         let type_index = self.type_by_name(&report.type_name);
-        let capacity = type_index.map(|t| self.capacity_of(t));
+        let capacity = type_index.map(|reported| self.capacity_of(reported));
         let was_open = self
             .fleet
             .machines
@@ -50,10 +50,10 @@
         }
         let mut seen = HashSet::with_capacity(report.tasks.len());
         let mut commands = Vec::new();
-        for t in &report.tasks {
-            let key = self.slot_key(t);
+        for reported in &report.tasks {
+            let key = self.slot_key(reported);
             seen.extend(key);
-            commands.extend(self.on_task(index, t, key, fenced, now));
+            commands.extend(self.on_task(index, reported, key, fenced, now));
         }
         self.on_absent(index, &seen, source, fenced, now);
         self.heed_notice(index, now);
@@ -65,7 +65,7 @@
         }
         // A pass is worth its time only if there is room that was not there before.
         if before != (machine_state.used, machine_state.suspect) || !was_open {
-            self.changed = true;
+            self.request_placement();
         }
         Some(commands)
     }
@@ -361,7 +361,7 @@
             self.wake_job(key.job);
             self.on_unbound(key.job, key.task, now);
         }
-        self.changed = true;
+        self.request_placement();
         self.maybe_settle(key.job);
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -97,7 +97,7 @@
 
 /// What was wrong with a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum Bad {
+pub enum MessageError {
     #[error("malformed message")]
     Malformed,
     #[error("head too large")]
@@ -108,13 +108,13 @@
     UnknownCoding,
 }
 
-impl Bad {
+impl MessageError {
     fn status(self) -> u16 {
         match self {
-            Bad::Malformed => 400,
-            Bad::HeadTooLarge => 431,
-            Bad::BodyTooLarge => 413,
-            Bad::UnknownCoding => 501,
+            MessageError::Malformed => 400,
+            MessageError::HeadTooLarge => 431,
+            MessageError::BodyTooLarge => 413,
+            MessageError::UnknownCoding => 501,
         }
     }
 }
@@ -127,38 +127,41 @@
 }
 
 /// How a body is framed, and whether the connection ends after the message.
-fn framing(headers: &[httparse::Header<'_>], default: Framing) -> Result<(Framing, bool), Bad> {
+fn framing(
+    headers: &[httparse::Header<'_>],
+    default: Framing,
+) -> Result<(Framing, bool), MessageError> {
     let mut length: Option<usize> = None;
     let mut chunked = false;
     let mut close = false;
-    for h in headers {
-        if h.name.eq_ignore_ascii_case("content-length") {
-            let text = std::str::from_utf8(h.value)
-                .map_err(|_| Bad::Malformed)?
+    for header in headers {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(header.value)
+                .map_err(|_| MessageError::Malformed)?
                 .trim();
             if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
-                return Err(Bad::Malformed);
+                return Err(MessageError::Malformed);
             }
-            let n = text.parse().map_err(|_| Bad::BodyTooLarge)?;
+            let n = text.parse().map_err(|_| MessageError::BodyTooLarge)?;
             // Two lengths that differ are an attempt to smuggle a request.
             if length.is_some_and(|l| l != n) {
-                return Err(Bad::Malformed);
+                return Err(MessageError::Malformed);
             }
             length = Some(n);
-        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-            if !h.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
-                return Err(Bad::UnknownCoding);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !header.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+                return Err(MessageError::UnknownCoding);
             }
             chunked = true;
-        } else if h.name.eq_ignore_ascii_case("connection") {
-            close |= h
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            close |= header
                 .value
                 .split(|b| *b == b',')
                 .any(|v| v.trim_ascii().eq_ignore_ascii_case(b"close"));
         }
     }
     match (chunked, length) {
-        (true, Some(_)) => Err(Bad::Malformed),
+        (true, Some(_)) => Err(MessageError::Malformed),
         (true, None) => Ok((Framing::Chunked, close)),
         (false, Some(n)) => Ok((Framing::Length(n), close)),
         (false, None) => Ok((default, close)),
@@ -167,14 +170,14 @@
 
 /// Takes a chunked body from the front of `buf`: the body and the bytes it took, or None if
 /// more bytes are needed.
-fn take_chunked(buf: &[u8], max: usize) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+fn take_chunked(buf: &[u8], max: usize) -> Result<Option<(Vec<u8>, usize)>, MessageError> {
     let mut body = Vec::new();
     let mut at = 0;
     loop {
-        match httparse::parse_chunk_size(&buf[at..]).map_err(|_| Bad::Malformed)? {
+        match httparse::parse_chunk_size(&buf[at..]).map_err(|_| MessageError::Malformed)? {
             httparse::Status::Partial => {
                 return if buf.len() - at > HEAD_MAX {
-                    Err(Bad::Malformed)
+                    Err(MessageError::Malformed)
                 } else {
                     Ok(None)
                 };
@@ -185,12 +188,12 @@
                     // Trailers are not used by anyone here: only the empty line is taken.
                     return match buf.get(at..at + 2) {
                         Some(b"\r\n") => Ok(Some((body, at + 2))),
-                        Some(_) => Err(Bad::Malformed),
+                        Some(_) => Err(MessageError::Malformed),
                         None => Ok(None),
                     };
                 }
                 if size > max as u64 || body.len() + size as usize > max {
-                    return Err(Bad::BodyTooLarge);
+                    return Err(MessageError::BodyTooLarge);
                 }
                 let end = at + size as usize;
                 match buf.get(end..end + 2) {
@@ -198,7 +201,7 @@
                         body.extend_from_slice(&buf[at..end]);
                         at = end + 2;
                     }
-                    Some(_) => return Err(Bad::Malformed),
+                    Some(_) => return Err(MessageError::Malformed),
                     None => return Ok(None),
                 }
             }
@@ -212,16 +215,16 @@
     start: usize,
     framing: Framing,
     max: usize,
-) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+) -> Result<Option<(Vec<u8>, usize)>, MessageError> {
     match framing {
-        Framing::Length(n) if n > max => Err(Bad::BodyTooLarge),
+        Framing::Length(n) if n > max => Err(MessageError::BodyTooLarge),
         Framing::Length(n) => Ok(buf
             .get(start..start + n)
             .map(|body| (body.to_vec(), start + n))),
         Framing::Chunked => {
             Ok(take_chunked(&buf[start..], max)?.map(|(body, used)| (body, start + used)))
         }
-        Framing::UntilClose if buf.len() - start > max => Err(Bad::BodyTooLarge),
+        Framing::UntilClose if buf.len() - start > max => Err(MessageError::BodyTooLarge),
         Framing::UntilClose => Ok(None),
     }
 }
@@ -235,11 +238,11 @@
     len: usize,
 }
 
-fn parse_request_head(buf: &[u8]) -> Result<Option<ParsedHead>, Bad> {
+fn parse_request_head(buf: &[u8]) -> Result<Option<ParsedHead>, MessageError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(buf) {
-        Ok(httparse::Status::Complete(len)) if len > HEAD_MAX => Err(Bad::HeadTooLarge),
+        Ok(httparse::Status::Complete(len)) if len > HEAD_MAX => Err(MessageError::HeadTooLarge),
         Ok(httparse::Status::Complete(len)) => {
             let (framing, close) = framing(request.headers, Framing::Length(0))?;
             Ok(Some(ParsedHead {
@@ -254,10 +257,10 @@
                 len,
             }))
         }
-        Ok(httparse::Status::Partial) if buf.len() > HEAD_MAX => Err(Bad::HeadTooLarge),
+        Ok(httparse::Status::Partial) if buf.len() > HEAD_MAX => Err(MessageError::HeadTooLarge),
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(httparse::Error::TooManyHeaders) => Err(Bad::HeadTooLarge),
-        Err(_) => Err(Bad::Malformed),
+        Err(httparse::Error::TooManyHeaders) => Err(MessageError::HeadTooLarge),
+        Err(_) => Err(MessageError::Malformed),
     }
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,8 @@
 //! Serving requests, within bounds on connections.
 
-use super::{BODY_MAX, Bad, READ_CHUNK, Request, Response, fill, parse_request_head, take_body};
+use super::{
+    BODY_MAX, MessageError, READ_CHUNK, Request, Response, fill, parse_request_head, take_body,
+};
 use crate::rt::{Listener, Rt, Scope, Signal, Stream, Time};
 use futures_util::future::{Either, select};
 use std::cell::{Cell, RefCell};
@@ -203,7 +205,7 @@
 pub(super) async fn read_request(
     stream: &mut Stream,
     buf: &mut Vec<u8>,
-) -> Result<Option<(Request, bool)>, Bad> {
+) -> Result<Option<(Request, bool)>, MessageError> {
     let head = loop {
         if let Some(head) = parse_request_head(buf)? {
             break head;
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -15,15 +15,21 @@
         .unwrap();
     assert_eq!(head.framing, Framing::Length(3));
     let two = b"POST /x HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n";
-    assert_eq!(parse_request_head(two).err(), Some(Bad::Malformed));
+    assert_eq!(parse_request_head(two).err(), Some(MessageError::Malformed));
     let negative = b"POST /x HTTP/1.1\r\nContent-Length: -3\r\n\r\n";
-    assert_eq!(parse_request_head(negative).err(), Some(Bad::Malformed));
+    assert_eq!(
+        parse_request_head(negative).err(),
+        Some(MessageError::Malformed)
+    );
     let both = b"POST /x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
-    assert_eq!(parse_request_head(both).err(), Some(Bad::Malformed));
+    assert_eq!(
+        parse_request_head(both).err(),
+        Some(MessageError::Malformed)
+    );
     let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(HEAD_MAX));
     assert_eq!(
         parse_request_head(long.as_bytes()).err(),
-        Some(Bad::HeadTooLarge)
+        Some(MessageError::HeadTooLarge)
     );
 }
 
@@ -33,10 +39,10 @@
     let (body, used) = take_chunked(whole, 100).unwrap().unwrap();
     assert_eq!((body.as_slice(), used), (&b"abcde"[..], whole.len() - 4));
     assert_eq!(take_chunked(&whole[..10], 100), Ok(None));
-    assert_eq!(take_chunked(whole, 4), Err(Bad::BodyTooLarge));
+    assert_eq!(take_chunked(whole, 4), Err(MessageError::BodyTooLarge));
     assert_eq!(
         take_chunked(b"ffffffffffffff\r\n", 4),
-        Err(Bad::BodyTooLarge)
+        Err(MessageError::BodyTooLarge)
     );
 }
 
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -83,7 +83,7 @@
     pub(crate) forecast: Rc<RefCell<ArrivalForecast>>,
     pub(crate) cloud: CloudBook,
     /// Something changed that a placement pass should look at.
-    pub(crate) changed: bool,
+    changed: bool,
     /// Jobs of which something is to be written.
     pending_writes: BTreeMap<JobIndex, PendingWrites>,
     log: AssignmentLog,
@@ -98,7 +98,7 @@
     write_share: f64,
     write_tokens: f64,
     write_refill: Time,
-    pub last_report: Time,
+    last_report: Time,
     /// The last time this node stood still.
     pause: Pause,
     /// The part of the open machines that has or fetches each image.
@@ -183,6 +183,36 @@
         self.by_id.get(id).copied()
     }
 
+    /// Something changed that a placement pass should look at.
+    pub(crate) fn request_placement(&mut self) {
+        self.changed = true;
+    }
+
+    /// Whether a placement pass was requested since this was last asked.
+    pub(crate) fn take_placement_request(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Puts a job among those of which tasks wait to be placed.
+    pub(crate) fn enqueue(&mut self, index: JobIndex) {
+        self.active.insert(index);
+    }
+
+    /// Nothing of a job waits to be placed any more.
+    pub(crate) fn dequeue(&mut self, index: JobIndex) {
+        self.active.remove(&index);
+    }
+
+    /// Workers were heard at this moment.
+    pub fn note_report(&mut self, now: Time) {
+        self.last_report = now;
+    }
+
+    /// When workers were last heard.
+    pub fn last_report(&self) -> Time {
+        self.last_report
+    }
+
     /// This node stood still: what it did not hear meanwhile is no silence of the machines.
     pub fn note_pause(&mut self, pause: Pause) {
         self.pause = pause;
--- a/src/leader/chain_demands.rs
+++ b/src/leader/chain_demands.rs
@@ -32,7 +32,9 @@
                 Rc::make_mut(&mut need.spec).priority = priority;
             }
             need.needed_by = need.needed_by.min(needed_by);
-            leader.changed |= more;
+            if more {
+                leader.request_placement();
+            }
             more
         };
         graph::pass_back(
--- a/src/leader/job_lifecycle.rs
+++ b/src/leader/job_lifecycle.rs
@@ -59,7 +59,7 @@
         if !self.jobs[&index].waits {
             self.note_arrival(index);
         }
-        self.changed = true;
+        self.request_placement();
         Some(index)
     }
 
@@ -119,7 +119,7 @@
         job.since = now;
         self.wake_job(index);
         self.note_arrival(index);
-        self.changed = true;
+        self.request_placement();
     }
 
     /// A job that this one needs, directly or through others, is cancelled: its own end follows, to be
@@ -144,7 +144,7 @@
             job.end_stored = true;
         }
         self.ends.remove(&index);
-        self.active.remove(&index);
+        self.dequeue(index);
         if end.end == End::Cancelled {
             self.stop_job(index, 0.0, now);
         }
@@ -236,7 +236,7 @@
         if let Some(job) = self.jobs.get_mut(&index) {
             job.ended = Some(end);
         }
-        self.active.remove(&index);
+        self.dequeue(index);
         self.pending_writes.remove(&index);
         self.ends.insert(index);
     }
@@ -257,7 +257,7 @@
     pub(crate) fn wake_job(&mut self, index: JobIndex) {
         let job = &self.jobs[&index];
         if job.ended.is_none() && !job.waits && job.pending() > 0 {
-            self.active.insert(index);
+            self.enqueue(index);
         }
     }
 
--- a/src/leader/writes.rs
+++ b/src/leader/writes.rs
@@ -472,7 +472,7 @@
                     self.zones.clear_away(key::needs(&job.id, part));
                 }
             }
-            self.active.remove(&index);
+            self.dequeue(index);
         }
     }
 }
--- a/src/node/delegate.rs
+++ b/src/node/delegate.rs
@@ -57,13 +57,16 @@
             self.begun.push((report.machine.clone(), report.session));
             fresh = true;
         }
-        for t in &report.tasks {
-            let done = t.state == TaskState::Exited && t.exit_reason == Some(ExitReason::Done);
+        for reported in &report.tasks {
+            let done = reported.state == TaskState::Exited
+                && reported.exit_reason == Some(ExitReason::Done);
             if done
-                && let Some((id, task)) = split_task(&t.task)
-                && self.relayed.insert((t.task.clone(), t.attempt))
+                && let Some((id, task)) = split_task(&reported.task)
+                && self
+                    .relayed
+                    .insert((reported.task.clone(), reported.attempt))
             {
-                let key = (id.to_owned(), t.attempt);
+                let key = (id.to_owned(), reported.attempt);
                 self.pending.entry(key).or_default().insert(task);
                 fresh = true;
             }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -258,7 +258,7 @@
         let deaf_s = self.config.deployment.workers.report_s * DEAF_REPORTS;
         let many = leader.fleet.machines.len() >= DEAF_MACHINES;
         let deaf_s = if many { deaf_s.min(DEAF_S_MAX) } else { deaf_s };
-        now - leader.last_report > deaf_s
+        now - leader.last_report() > deaf_s
     }
 
     /// Jobs wait for nothing any more, or are cancelled as one that they need is.
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -125,7 +125,7 @@
                     if self.acting().is_none()
                         && let Some(leader) = self.leader.borrow_mut().as_mut()
                     {
-                        leader.last_report = now;
+                        leader.note_report(now);
                     }
                     self.tenure.set(Some(tenure));
                 }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -76,7 +76,7 @@
     /// None: this node does not lead with that token any more.
     async fn answer_as_leader(&self, report: &Report, token: u64, now: Time) -> Option<Response> {
         let (commands, work_waits) = self.with_lead(token, |leader| {
-            leader.last_report = now;
+            leader.note_report(now);
             let commands = leader.on_report(report, Source::Checkin, now);
             (commands, leader.has_work_waiting())
         })?;
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -28,16 +28,16 @@
 
 impl Node {
     pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response {
-        let p = request.path.split('?').next().unwrap_or_default();
-        match (request.method.as_str(), p) {
+        let route = request.path.split('?').next().unwrap_or_default();
+        match (request.method.as_str(), route) {
             ("POST", path::REPORT) => self.report(&request.body).await,
             ("POST", path::JOBS) => self.submit(&request.body).await,
             ("GET", path::READY) => self.ready(),
             (_, path::REPORT | path::JOBS | path::READY) => {
                 Response::error(405, "method not allowed")
             }
-            (method, p) => {
-                let Some(rest) = p
+            (method, route) => {
+                let Some(rest) = route
                     .strip_prefix(path::JOBS)
                     .and_then(|rest| rest.strip_prefix('/'))
                 else {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -87,7 +87,7 @@
 impl Leader {
     /// Places what can be placed. What it decides is launched once it is stored.
     pub fn plan(&mut self, now: Time) {
-        if !std::mem::take(&mut self.changed) || self.active.is_empty() {
+        if !self.take_placement_request() || self.active.is_empty() {
             return;
         }
         let mut places = self.places(now);
@@ -119,7 +119,7 @@
                 no_room.push(NoRoom { spec, tasks, far });
             }
             if self.jobs[&index].pending() == 0 {
-                self.active.remove(&index);
+                self.dequeue(index);
             }
         }
     }
@@ -244,19 +244,19 @@
         let spec = &job.spec;
         let amount = job.amount();
         let mut left = job.pending();
-        for p in places.iter_mut() {
+        for place in places.iter_mut() {
             if left == 0 {
                 return;
             }
-            let share = amount.largest_share(p.now.capacity);
-            if !p.kept
+            let share = amount.largest_share(place.now.capacity);
+            if !place.kept
                 && share <= HOLE_SHARE_MAX
-                && type_allowed(spec, &self.types[p.type_index])
-                && (spec.spot || !p.spot)
-                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
-                && p.role == Role::Shared
+                && type_allowed(spec, &self.types[place.type_index])
+                && (spec.spot || !place.spot)
+                && spec.zone.as_ref().is_none_or(|z| **z == *place.zone)
+                && place.role == Role::Shared
             {
-                p.kept = true;
+                place.kept = true;
                 left -= 1;
             }
         }
@@ -289,22 +289,22 @@
                 large: self.is_large_on(amount, t),
             })
             .collect();
-        let allowed = |p: &Place| {
-            let t = types[p.type_index];
+        let allowed = |place: &Place| {
+            let t = types[place.type_index];
             // Machines kept for large work are not sliced up by small tasks; large work may also
             // take a shared machine that has room for it.
-            let lent = p.lend_below.is_some_and(|below| spec.priority < below);
+            let lent = place.lend_below.is_some_and(|below| spec.priority < below);
             t.allowed
-                && !p.kept
-                && (spec.spot || !p.spot)
-                && spec.zone.as_ref().is_none_or(|z| **z == *p.zone)
-                && (t.large || p.role == Role::Shared || lent)
-                && here(p)
+                && !place.kept
+                && (spec.spot || !place.spot)
+                && spec.zone.as_ref().is_none_or(|z| **z == *place.zone)
+                && (t.large || place.role == Role::Shared || lent)
+                && here(place)
         };
         // Machines where the job's tasks failed are left out if there are others.
-        let healthy = |p: &Place| !job.failed_on.contains(&p.index);
+        let healthy = |place: &Place| !job.failed_on.contains(&place.index);
         let any_healthy =
-            job.failed_on.is_empty() || places.iter().any(|p| allowed(p) && healthy(p));
+            job.failed_on.is_empty() || places.iter().any(|place| allowed(place) && healthy(place));
         let patience = Patience {
             gang: job.is_gang(),
             near_s: self.run_s(job).min(self.tightest_wait(spec)) * NEAR_SHARE,
@@ -313,22 +313,22 @@
         };
         let avoids_spot = self.is_step_with_deadline(job);
         let mut picker = Picker::new(self.rule, amount, weight);
-        for (at, p) in places.iter().enumerate() {
-            let room = p.now.capacity.minus(p.now.used);
-            if !amount.fits(room) || !allowed(p) || (any_healthy && !healthy(p)) {
+        for (at, place) in places.iter().enumerate() {
+            let room = place.now.capacity.minus(place.now.used);
+            if !amount.fits(room) || !allowed(place) || (any_healthy && !healthy(place)) {
                 continue;
             }
-            let Some((far, asked)) = self.distance(p, spec, patience, now) else {
+            let Some((far, asked)) = self.distance(place, spec, patience, now) else {
                 picker.leave_out();
                 continue;
             };
-            let borrowed = p.role != Role::Shared && !types[p.type_index].large;
+            let borrowed = place.role != Role::Shared && !types[place.type_index].large;
             let tier = Tier {
-                revocable: avoids_spot && p.spot,
+                revocable: avoids_spot && place.spot,
                 far,
                 borrowed,
             };
-            picker.offer(at, tier, asked, p.cost, p.now);
+            picker.offer(at, tier, asked, place.cost, place.now);
         }
         picker
     }
--- a/src/scheduler/gangs.rs
+++ b/src/scheduler/gangs.rs
@@ -111,11 +111,11 @@
         } else {
             None
         };
-        for p in places.iter_mut() {
-            let room = p.now.capacity.minus(p.now.used);
-            let here = zone.as_ref().is_none_or(|z| *z == p.zone);
-            let suits = suits(p.type_index, p.spot, &p.zone, p.role);
-            p.kept = here && suits && amount.fits(room);
+        for place in places.iter_mut() {
+            let room = place.now.capacity.minus(place.now.used);
+            let here = zone.as_ref().is_none_or(|z| *z == place.zone);
+            let suits = suits(place.type_index, place.spot, &place.zone, place.role);
+            place.kept = here && suits && amount.fits(room);
         }
         true
     }
--- a/src/tests/random_faults/delivery.rs
+++ b/src/tests/random_faults/delivery.rs
@@ -183,7 +183,7 @@
         if report.token > leader.token {
             return self.answer(at, &report, None, leader_node);
         }
-        leader.last_report = now;
+        leader.note_report(now);
         let mut commands = Vec::new();
         if let Some(given) = leader.on_report(&report, Source::Checkin, now) {
             commands = given;
--- a/src/tests/scenarios/direct.rs
+++ b/src/tests/scenarios/direct.rs
@@ -112,7 +112,7 @@
         now += 1.0;
         assert!(now < 20.0);
         assert_eq!(starts(&w.checkin(&mut leader, now)), 0);
-        leader.last_report = now;
+        leader.note_report(now);
         leader.tend(now);
         gone = returned(&mut leader, now);
     }
--- a/src/tests/scenarios/machines.rs
+++ b/src/tests/scenarios/machines.rs
@@ -64,7 +64,7 @@
             for (i, w) in workers.iter_mut().enumerate() {
                 let now = f64::from(round) * 3.0 + i as f64 * 0.35;
                 w.checkin(&mut leader, now);
-                leader.last_report = now;
+                leader.note_report(now);
             }
             store.settle(&mut leader, f64::from(round) * 3.0 + 2.9);
         }
@@ -74,7 +74,7 @@
             if !deaf {
                 for w in &mut workers[1..] {
                     w.checkin(&mut leader, now);
-                    leader.last_report = now;
+                    leader.note_report(now);
                 }
             }
             leader.tend(now);
@@ -118,7 +118,7 @@
     let mut gone = Vec::new();
     for now in 102..125 {
         w.checkin(&mut leader, f64::from(now));
-        leader.last_report = f64::from(now);
+        leader.note_report(f64::from(now));
         leader.tend(f64::from(now));
         gone.extend(returned(&mut leader, f64::from(now)));
     }
@@ -156,7 +156,7 @@
         for w in &mut others {
             w.checkin(&mut leader, now);
         }
-        leader.last_report = now;
+        leader.note_report(now);
         store.settle(&mut leader, now);
         leader.tend(now);
         let m = &leader.fleet.machines[&leader.fleet.find("i-9").unwrap()];
@@ -275,7 +275,7 @@
         for w in &mut ws[3..] {
             w.checkin(&mut leader, 9.5);
         }
-        leader.last_report = 9.5;
+        leader.note_report(9.5);
         leader.tend(9.5);
         assert_eq!(returned(&mut leader, 9.5).len(), expected);
     }
@@ -318,7 +318,7 @@
     let mut now = 1.0;
     while now < after + 3.0 {
         ws[0].checkin(&mut leader, now);
-        leader.last_report = now;
+        leader.note_report(now);
         leader.tend(now);
         let gone = returned(&mut leader, now);
         let expected = if now > after { 4 } else { 0 };
--- a/src/tests/scenarios/renting.rs
+++ b/src/tests/scenarios/renting.rs
@@ -158,7 +158,7 @@
         let mut stops = Vec::new();
         for step in 0..300 {
             let now = 2.0 + f64::from(step) * 0.5;
-            leader.last_report = now;
+            leader.note_report(now);
             for w in &mut ws {
                 if step == 2 {
                     // All but one have ended.
--- a/src/tests/scenarios/zones.rs
+++ b/src/tests/scenarios/zones.rs
@@ -34,7 +34,7 @@
                 w.checkin(&mut leader, now);
             }
         }
-        leader.last_report = now;
+        leader.note_report(now);
         leader.tend(now);
         while let Some(call) = leader.next_cloud_call(now) {
             let answer = match &call {
@@ -92,7 +92,7 @@
         for w in ws.iter_mut() {
             w.checkin(leader, now);
         }
-        leader.last_report = now;
+        leader.note_report(now);
         leader.tend(now);
         store.settle(leader, now);
         returned(leader, now);
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -98,8 +98,9 @@
     /// What is to be stored of delegates: the zone, the condition and the change.
     fn changes(&mut self, token: u64, most: usize) -> Vec<(Rc<str>, Condition, Change)> {
         let mut changes = Vec::new();
-        for (zone, s) in &mut self.delegations {
-            let due = s.over.is_none() && !s.in_flight && s.wanted == s.stored.is_none();
+        for (zone, state) in &mut self.delegations {
+            let due =
+                state.over.is_none() && !state.in_flight && state.wanted == state.stored.is_none();
             if !due || changes.len() >= most {
                 continue;
             }
@@ -108,13 +109,13 @@
             let record = DelegationRecord {
                 token,
                 zone: zone.to_string(),
-                over: !s.wanted,
+                over: !state.wanted,
             };
-            if let Some(change) = put(s.key.clone(), &record) {
-                s.in_flight = true;
+            if let Some(change) = put(state.key.clone(), &record) {
+                state.in_flight = true;
                 let condition = Condition {
-                    key: s.key.clone(),
-                    version: s.stored.unwrap_or(0),
+                    key: state.key.clone(),
+                    version: state.stored.unwrap_or(0),
                 };
                 changes.push((zone.clone(), condition, change));
             }
@@ -130,13 +131,13 @@
 
     /// What was to be stored of a zone was, at this revision, or was not.
     pub(crate) fn stored(&mut self, zone: &str, revision: Option<u64>, now: Time) {
-        let Some(s) = self.delegations.get_mut(zone) else {
+        let Some(state) = self.delegations.get_mut(zone) else {
             return;
         };
-        s.in_flight = false;
-        match (revision, s.stored) {
-            (Some(revision), None) => s.stored = Some(revision),
-            (Some(_), Some(_)) => s.over = Some(now),
+        state.in_flight = false;
+        match (revision, state.stored) {
+            (Some(revision), None) => state.stored = Some(revision),
+            (Some(_), Some(_)) => state.over = Some(now),
             (None, _) => {}
         }
     }
@@ -161,8 +162,8 @@
     /// Breaks the guard that nothing is freed for silence where somebody may stand in.
     #[cfg(test)]
     pub(crate) fn forget_delegations(&mut self) {
-        for s in self.delegations.values_mut() {
-            s.over = Some(f64::NEG_INFINITY);
+        for state in self.delegations.values_mut() {
+            state.over = Some(f64::NEG_INFINITY);
         }
     }
 
