--- /dev/null
+++ b/crates/quota/tests/support/checker.rs
@@ -0,0 +1,149 @@
+//! Judges a store's history by the stored records alone.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use quota::{AccountChange, QuotaSettings, Resources, TeamRecord};
+
+use super::store::{Change, JobRecord, Store};
+
+/// A team's name and a controller's.
+type TeamAndNode = (Rc<str>, Rc<str>);
+
+#[derive(Default)]
+pub struct Totals {
+    jobs: BTreeMap<Rc<str>, JobRecord>,
+    done: BTreeMap<Rc<str>, bool>,
+    teams: BTreeMap<Rc<str>, TeamRecord>,
+    allotments: BTreeMap<TeamAndNode, Resources>,
+    shared: Option<Resources>,
+    generation: u64,
+}
+
+impl Totals {
+    /// Everything as stored now.
+    pub fn of(store: &Store) -> Self {
+        let mut totals = Totals::default();
+        for committed in &store.history {
+            totals.take_in(&committed.change);
+        }
+        totals
+    }
+
+    fn take_in(&mut self, change: &Change) {
+        match change {
+            Change::Job(id, Some(job)) => {
+                assert!(!self.jobs.contains_key(id), "{id} was created twice");
+                self.jobs.insert(id.clone(), job.clone());
+            }
+            Change::Job(id, None) => {
+                self.jobs.remove(id);
+            }
+            Change::End(id, done) => {
+                self.done.insert(id.clone(), *done);
+            }
+            Change::Account(AccountChange::Team(name, Some(record))) => {
+                self.teams.insert(name.clone(), record.clone());
+            }
+            Change::Account(AccountChange::Allotment { team, node, record }) => {
+                let size = record
+                    .as_ref()
+                    .map_or(Resources::ZERO, |record| record.size);
+                self.allotments.insert((team.clone(), node.clone()), size);
+            }
+            Change::Account(AccountChange::Shared(record)) => {
+                self.shared = record.as_ref().map(|record| record.free);
+            }
+            Change::Account(AccountChange::Settings(Some(record))) => {
+                self.generation = record.generation;
+            }
+            _ => {}
+        }
+    }
+
+    /// A job counts until it is done, or cancelled and its record cleared away.
+    fn unfinished(&self) -> impl Iterator<Item = &JobRecord> {
+        self.jobs
+            .iter()
+            .filter(|(id, _)| self.done.get(*id) != Some(&true))
+            .map(|(_, job)| job)
+    }
+
+    pub fn used(&self, team: &str, node: Option<&str>) -> Resources {
+        self.unfinished()
+            .filter(|job| &*job.team == team && node.is_none_or(|n| job.node.as_deref() == Some(n)))
+            .fold(Resources::ZERO, |sum, job| sum + job.charge)
+    }
+
+    pub fn used_in_all(&self) -> Resources {
+        self.unfinished()
+            .fold(Resources::ZERO, |sum, job| sum + job.charge)
+    }
+
+    fn allotted(&self, team: &str) -> Resources {
+        self.allotments
+            .iter()
+            .filter(|((name, _), _)| &**name == team)
+            .fold(Resources::ZERO, |sum, (_, size)| sum + *size)
+    }
+
+    /// Units are neither made nor lost: what teams hold and what is lent is all there is, and what a team holds is
+    /// in its allotments or in none.
+    pub fn check_units(&self, settings: &QuotaSettings) {
+        let Some(shared) = self.shared else {
+            return;
+        };
+        let mut sum = shared + settings.reserved();
+        for (name, record) in &self.teams {
+            let allotted = self.allotted(name);
+            assert_eq!(
+                record.held,
+                record.free + record.uncharged + allotted,
+                "{name}: units of {record:?} with {allotted} in allotments"
+            );
+            let guaranteed = settings.team(name).guaranteed;
+            sum += record.held.max(guaranteed) - guaranteed;
+        }
+        assert_eq!(sum, settings.total(), "units of the service");
+    }
+
+    /// No allotment is charged with more than its size.
+    pub fn check_allotments(&self, settings: &QuotaSettings) {
+        for ((team, node), size) in &self.allotments {
+            let used = settings.counted(team, self.used(team, Some(node)));
+            assert!(
+                used.fits_within(size),
+                "{team} at {node}: {used} used of {size}"
+            );
+        }
+    }
+
+    pub fn check_limits(&self, settings: &QuotaSettings) {
+        let teams: std::collections::BTreeSet<&Rc<str>> =
+            self.unfinished().map(|job| &job.team).collect();
+        for team in teams {
+            let used = self.used(team, None);
+            let limit = settings.team(team).limit;
+            assert!(used.fits_within(&limit), "{team}: {used} used of {limit}");
+        }
+        let used = self.used_in_all();
+        assert!(used.fits_within(&settings.total()), "{used} used in all");
+    }
+}
+
+/// No limit was crossed at any revision at which these settings were in force, from the first on.
+pub fn check_history(store: &Store, settings: &QuotaSettings, from_generation: u64) {
+    let mut totals = Totals::default();
+    let mut committed = store.history.iter().peekable();
+    while let Some(first) = committed.next() {
+        totals.take_in(&first.change);
+        while let Some(next) = committed.next_if(|next| next.revision == first.revision) {
+            totals.take_in(&next.change);
+        }
+        if totals.generation >= from_generation {
+            totals.check_allotments(settings);
+            totals.check_limits(settings);
+            totals.check_units(settings);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/support/store.rs
@@ -0,0 +1,139 @@
+//! A store with atomic conditional transactions, which keeps every change that was ever made.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use quota::{AccountChange, AccountId, Plan, Resources};
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Key {
+    Account(AccountId),
+    Job(Rc<str>),
+    End(Rc<str>),
+    Leader,
+}
+
+/// A job's record. One without a node bears no charge.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobRecord {
+    pub team: Rc<str>,
+    pub node: Option<Rc<str>>,
+    pub charge: Resources,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    Account(AccountChange),
+    Job(Rc<str>, Option<JobRecord>),
+    /// Whether it is done; else it was cancelled.
+    End(Rc<str>, bool),
+    Leader(usize),
+}
+
+impl Change {
+    pub fn key(&self) -> Key {
+        match self {
+            Change::Account(change) => Key::Account(match change {
+                AccountChange::Settings(_) => AccountId::Settings,
+                AccountChange::Shared(_) => AccountId::Shared,
+                AccountChange::Team(name, _) => AccountId::Team(name.clone()),
+                AccountChange::Owner(name, _) => AccountId::Owner(name.clone()),
+                AccountChange::Allotment { team, node, .. } => AccountId::Allotment {
+                    team: team.clone(),
+                    node: node.clone(),
+                },
+            }),
+            Change::Job(id, _) => Key::Job(id.clone()),
+            Change::End(id, _) => Key::End(id.clone()),
+            Change::Leader(_) => Key::Leader,
+        }
+    }
+
+    fn deletes(&self) -> bool {
+        matches!(
+            self,
+            Change::Job(_, None)
+                | Change::Account(
+                    AccountChange::Settings(None)
+                        | AccountChange::Shared(None)
+                        | AccountChange::Team(_, None)
+                        | AccountChange::Owner(_, None)
+                        | AccountChange::Allotment { record: None, .. }
+                )
+        )
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Txn {
+    pub conditions: Vec<(Key, u64)>,
+    pub changes: Vec<Change>,
+}
+
+impl Txn {
+    /// A plan, on the condition that this revision of the leader's key leads if only the leader may do so.
+    pub fn of(plan: &Plan, token: u64) -> Self {
+        let mut conditions: Vec<(Key, u64)> = plan
+            .conditions
+            .iter()
+            .map(|(account, revision)| (Key::Account(account.clone()), *revision))
+            .collect();
+        if plan.by_leader {
+            conditions.push((Key::Leader, token));
+        }
+        let changes = plan.changes.iter().cloned().map(Change::Account).collect();
+        Txn {
+            conditions,
+            changes,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Applied,
+    Conflict,
+}
+
+#[derive(Debug, Clone)]
+pub struct Committed {
+    pub revision: u64,
+    pub change: Change,
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub revision: u64,
+    pub values: BTreeMap<Key, (Change, u64)>,
+    pub history: Vec<Committed>,
+}
+
+impl Store {
+    pub fn revision_of(&self, key: &Key) -> u64 {
+        self.values.get(key).map_or(0, |(_, revision)| *revision)
+    }
+
+    pub fn apply(&mut self, txn: &Txn) -> Outcome {
+        let holds = |(key, revision): &(Key, u64)| self.revision_of(key) == *revision;
+        if !txn.conditions.iter().all(holds) {
+            return Outcome::Conflict;
+        }
+        if txn.changes.is_empty() {
+            return Outcome::Applied;
+        }
+        self.revision += 1;
+        for change in &txn.changes {
+            self.history.push(Committed {
+                revision: self.revision,
+                change: change.clone(),
+            });
+            if change.deletes() {
+                self.values.remove(&change.key());
+            } else {
+                let value = (change.clone(), self.revision);
+                self.values.insert(change.key(), value);
+            }
+        }
+        Outcome::Applied
+    }
+}
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -5,12 +5,16 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use quota::Resources;
 use serde::{Deserialize, Serialize};
 
 use crate::arrivals::{ArrivalForecast, Mean};
 use crate::config::Peer;
 use crate::rt::{Listener, Rt, Scope, Stream, Time};
 
+/// What a controller lacks of teams' quotas.
+pub type Shortages = Vec<(Rc<str>, Resources)>;
+
 /// What controllers tell one another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -22,6 +26,9 @@
     /// Run times of classes, as seen by this controller.
     #[serde(default)]
     pub runs: Vec<(String, Mean)>,
+    /// What this controller lacked lately of teams' quotas.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shortages: Shortages,
 }
 
 /// A worker as some controller last saw it.
@@ -39,6 +46,7 @@
     /// When each was heard, and how long before that it had the state service.
     heard: RefCell<HashMap<String, (Time, Option<f64>)>>,
     workers: RefCell<HashMap<String, (Time, WorkerSeen)>>,
+    shortages: RefCell<HashMap<Rc<str>, Shortages>>,
 }
 
 impl Peers {
@@ -62,7 +70,23 @@
         workers.values().map(|(_, w)| w.clone()).collect()
     }
 
+    /// Whether a controller was heard lately.
+    pub fn is_heard(&self, host: &str, now: Time, within_s: f64) -> bool {
+        let heard = self.heard.borrow();
+        heard.get(host).is_some_and(|(at, _)| now - at < within_s)
+    }
+
+    /// What other controllers told since this was last asked that they lack.
+    pub fn take_shortages(&self) -> HashMap<Rc<str>, Shortages> {
+        self.shortages.take()
+    }
+
     fn note(&self, heartbeat: Heartbeat, now: Time) {
+        if !heartbeat.shortages.is_empty() {
+            let host = heartbeat.host.as_str().into();
+            let mut shortages = self.shortages.borrow_mut();
+            shortages.insert(host, heartbeat.shortages);
+        }
         let mut heard = self.heard.borrow_mut();
         heard.insert(heartbeat.host, (now, heartbeat.state_s));
         let mut workers = self.workers.borrow_mut();
--- a/src/cluster/tests.rs
+++ b/src/cluster/tests.rs
@@ -14,6 +14,7 @@
             session: 3,
         }],
         runs: Vec::new(),
+        shortages: Vec::new(),
     };
     let frame = encode(&heartbeat).unwrap();
     let back: Heartbeat = ciborium::from_reader(&frame[4..]).unwrap();
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use crate::features::Features;
 use crate::wire::Submission;
 
 /// Why settings can't be used.
@@ -271,6 +272,9 @@
     /// What operators may tune.
     #[serde(skip)]
     pub tunables: Tunables,
+    /// Optional features.
+    #[serde(skip)]
+    pub features: Features,
 }
 
 impl Config {
@@ -463,7 +467,7 @@
 const MARGIN_OF_LIFE: f64 = 0.1;
 const SOCKETS_MIN: usize = 16;
 
-fn read(file: &Path) -> Result<String, ConfigError> {
+pub(crate) fn read(file: &Path) -> Result<String, ConfigError> {
     let fail = |source| ConfigError::Read {
         path: file.display().to_string(),
         source,
@@ -475,7 +479,7 @@
     std::fs::read_to_string(file).map_err(fail)
 }
 
-fn one_line(e: &toml::de::Error, text: &str) -> String {
+pub(crate) fn one_line(e: &toml::de::Error, text: &str) -> String {
     let line = e
         .span()
         .and_then(|s| text.get(..s.start))
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,10 @@
 //! The program: `capervale run --config FILE` serves, `capervale check FILE` looks at settings.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use capervale::config::Config;
+use capervale::features::Features;
 use clap::{Parser, Subcommand};
 use tracing_subscriber::EnvFilter;
 
@@ -25,6 +26,9 @@
         /// Operators' script (Lua) that sets tunables.
         #[arg(long)]
         script: Option<PathBuf>,
+        /// Features file (TOML); without it all optional features are off.
+        #[arg(long)]
+        features: Option<PathBuf>,
     },
     /// Check settings and print what is in force.
     Check {
@@ -33,6 +37,18 @@
         /// Operators' script (Lua) that sets tunables.
         #[arg(long)]
         script: Option<PathBuf>,
+        /// Features file (TOML); without it all optional features are off.
+        #[arg(long)]
+        features: Option<PathBuf>,
+    },
+    /// Show teams' quotas, their use and allotments, as the state service holds them.
+    Quota {
+        /// Settings file (TOML).
+        #[arg(long)]
+        config: PathBuf,
+        /// Features file (TOML).
+        #[arg(long)]
+        features: PathBuf,
     },
 }
 
@@ -47,24 +63,51 @@
     match perform(Args::parse().verb) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("capervale: {e}");
+            for line in e.to_string().lines() {
+                eprintln!("capervale: {line}");
+            }
             ExitCode::FAILURE
         }
     }
 }
 
+/// Reads all settings.
+fn load(
+    file: &Path,
+    script: Option<&Path>,
+    features: Option<&Path>,
+) -> Result<Config, Box<dyn std::error::Error>> {
+    let mut config = Config::load(file, script)?;
+    if let Some(features) = features {
+        config.features = Features::load(features, &config)?;
+    }
+    Ok(config)
+}
+
 fn perform(verb: Verb) -> Result<(), Box<dyn std::error::Error>> {
     match verb {
-        Verb::Run { config, script } => {
-            let config = Config::load(&config, script.as_deref())?;
+        Verb::Run {
+            config,
+            script,
+            features,
+        } => {
+            let config = load(&config, script.as_deref(), features.as_deref())?;
             capervale::node::run(config)?;
         }
-        Verb::Check { file, script } => {
-            let config = Config::load(&file, script.as_deref())?;
+        Verb::Check {
+            file,
+            script,
+            features,
+        } => {
+            let config = load(&file, script.as_deref(), features.as_deref())?;
             println!("{config:#?}");
             println!("leader_life_s = {:.2}", config.leader_life_s());
             println!("off_after_s = {:.2}", config.off_after_s());
         }
+        Verb::Quota { config, features } => {
+            let config = load(&config, None, Some(&features))?;
+            print!("{}", capervale::quota_report::report(config)?);
+        }
     }
     Ok(())
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,7 @@
 pub(crate) mod delegate;
 mod follow;
 mod leading;
+mod quotas;
 mod reports;
 pub(crate) mod users;
 
@@ -144,6 +145,8 @@
     /// What is to be told to the leader, by zone.
     relays: RefCell<HashMap<String, delegate::Relay>>,
     relay_work: Signal,
+    /// Admission quotas, if they are enabled.
+    quota: Option<quotas::NodeQuota>,
 }
 
 /// Runs a controller until its process ends.
@@ -206,6 +209,10 @@
     root.spawn(node.clone().election_duty());
     root.spawn(node.clone().leader_duty());
     root.spawn(node.clone().cloud_duty());
+    if config.features.quota.is_some() {
+        root.spawn(node.clone().presence_duty());
+        root.spawn(node.clone().quota_duty());
+    }
     tracing::info!("{} serves at {}", config.node, config.listen);
     Ok((node, root))
 }
@@ -233,9 +240,10 @@
     fn new(rt: &Rt, config: Rc<Config>) -> Self {
         let deployment = &config.deployment;
         let user_rate = deployment.state.write_rps * (1.0 - crate::leader::LEADER_WRITE_SHARE);
+        let incarnation = rand::rng().random();
         Node {
             rt: rt.clone(),
-            incarnation: rand::rng().random(),
+            incarnation,
             store: Store::new(rt, config.services.state, &config),
             cloud: Client::new(rt, config.services.cloud, OUTSIDE_BODY_MAX),
             cloud_pace: Bucket::new(deployment.cloud.rps * CLOUD_SHARE, deployment.cloud.rps),
@@ -276,6 +284,7 @@
             delegation_work: Signal::default(),
             relays: RefCell::default(),
             relay_work: Signal::default(),
+            quota: quotas::NodeQuota::new(&config, incarnation),
             config,
         }
     }
@@ -328,6 +337,7 @@
             state_s: self.state_heard.get().map(|t| now - t),
             workers,
             runs: self.forecast.borrow().runs(),
+            shortages: self.shortages(),
         }
     }
 }
--- a/src/node/delegate.rs
+++ b/src/node/delegate.rs
@@ -300,7 +300,7 @@
         };
         // One that is too large is given up: it only saves time.
         let outcome = self.user_write(&txn).await;
-        matches!(outcome, Some(TxnOutcome::Applied(_) | TxnOutcome::TooLarge))
+        matches!(outcome, TxnOutcome::Applied(_) | TxnOutcome::TooLarge)
     }
 }
 
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -102,14 +102,16 @@
     }
 
     pub(super) async fn load(&self) -> Result<(), crate::store::StoreError> {
-        let mut fresh = View::default();
+        let mut fresh = self.empty_view();
         let mut after = String::new();
         let mut first = None;
+        let mut last;
         let began = self.now();
         loop {
             let page = self.store.list(key::ROOT, &after).await?;
             self.heard_state();
             first.get_or_insert(page.revision);
+            last = page.revision;
             for item in &page.items {
                 fresh.apply(&item.key, Some(&item.value), item.version);
             }
@@ -119,13 +121,19 @@
             }
         }
         // What changed between the pages comes with the watch that begins at the first.
-        fresh.revision = first.unwrap_or(0);
+        fresh.reached(first.unwrap_or(0));
+        if let Some(ledger) = &mut fresh.quota {
+            // Jobs were read before the quotas that they are charged to: until the changes meanwhile have come,
+            // charges are missing.
+            ledger.read_until(last);
+        }
         let known = self.view.borrow().types.clone();
         fresh.types = fresh.types.or(known);
         fresh.complete(self.now(), self.rt.unix_ms());
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
         self.view_was_current(began);
+        self.after_view_change();
         self.resync();
         self.leader_moved.set();
         self.view_advanced.beat();
@@ -192,6 +200,7 @@
     pub(super) fn take_events(&self, events: &wire::Events) {
         let now = self.now();
         let mut view = self.view.borrow_mut();
+        view.now = now;
         let mut leader = self.leader.borrow_mut();
         for event in &events.events {
             let (key, value) = match (&event.put, &event.delete) {
@@ -230,7 +239,9 @@
             }
             self.on_readiness_changes(&mut view, leader.as_mut(), now);
         }
-        view.revision = view.revision.max(events.revision);
+        view.reached(events.revision);
+        drop(view);
+        self.after_view_change();
         self.view_advanced.beat();
     }
 
@@ -313,7 +324,7 @@
                         lease: None,
                     }],
                 };
-                if self.user_write(&txn).await == Some(TxnOutcome::TooLarge) {
+                if self.user_write(&txn).await == TxnOutcome::TooLarge {
                     self.view.borrow_mut().types = Some(Rc::new(types));
                     return;
                 }
--- a/src/node/tests.rs
+++ b/src/node/tests.rs
@@ -2,6 +2,7 @@
 
 mod chains;
 mod faults;
+mod quotas;
 mod random_faults;
 pub(super) mod requests;
 mod versions;
--- /dev/null
+++ b/src/node/tests/quotas.rs
@@ -0,0 +1,369 @@
+//! Admission quotas with whole controllers: what users are told, and what the state service holds at each revision.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use quota::{AccountChange, Resources};
+
+use super::world::{NODES, World, begin, play};
+use crate::config::Config;
+use crate::features::Features;
+use crate::quota_store::{change_of, charge_of, key_of};
+use crate::testing::job;
+use crate::view::{End, EndRecord, JobRecord, key};
+use crate::wire::{Change, JobState, Submission};
+
+const LIMIT_CPUS: f64 = 40.0;
+const QUOTAS: &str = r#"
+    [quota]
+    total = { cpus = 60 }
+    [[quota.teams]]
+    name = "blue"
+    guaranteed = { cpus = 12 }
+    limit = { cpus = 40 }
+    [[quota.teams]]
+    name = "red"
+    guaranteed = { cpus = 20 }
+"#;
+
+fn with_quotas(config: &mut Config) {
+    config.features = Features::parse(QUOTAS, "features", config).unwrap();
+    config.deployment.state.write_rps = 60.0;
+}
+
+fn of_team(id: &str, team: &str, tasks: u32) -> Submission {
+    let mut spec = job(id, tasks);
+    spec.team = team.into();
+    spec
+}
+
+/// Charges of a team's unfinished jobs at each revision, recomputed from the records alone: the largest sum.
+fn most_charged(w: &World, team: &str) -> Resources {
+    let mut jobs: BTreeMap<String, Resources> = BTreeMap::new();
+    let mut most = Resources::ZERO;
+    for change in w.state.history() {
+        let (name, value) = match &change {
+            Change::Put { key, value, .. } => (key, Some(value)),
+            Change::Delete { key } => (key, None),
+        };
+        let rest = name.strip_prefix(key::ROOT).unwrap();
+        if let Some(id) = rest.strip_prefix("job/") {
+            match value {
+                Some(value) => {
+                    let record: JobRecord = serde_json::from_str(value.get()).unwrap();
+                    if record.spec.team == team {
+                        jobs.insert(id.into(), charge_of(&record.spec));
+                    }
+                }
+                None => {
+                    jobs.remove(id);
+                }
+            }
+        } else if let Some(id) = rest.strip_prefix("end/") {
+            let record: EndRecord = serde_json::from_str(value.unwrap().get()).unwrap();
+            if record.end == End::Done {
+                jobs.remove(id);
+            }
+        }
+        let sum = jobs
+            .values()
+            .fold(Resources::ZERO, |sum, charge| sum + *charge);
+        most = most.max(sum);
+    }
+    most
+}
+
+fn assert_within(w: &World, team: &str, cpus: f64) {
+    let most = most_charged(w, team).get(quota::Kind::Cpus);
+    assert!(most <= (cpus * 1000.0) as i64, "{team}: {most} of {cpus}");
+}
+
+async fn in_force(w: &Rc<World>) {
+    w.until("quotas in force", 20.0, || {
+        (0..NODES).all(|at| w.node(at).is_some_and(|node| node.ready().status == 200))
+    })
+    .await;
+}
+
+/// Submits jobs of two CPUs at all controllers in the same instant; their ids by what was told.
+async fn burst(w: &Rc<World>, first: u32, count: u32, team: &str) -> Vec<(u16, String)> {
+    let submitted = (first..first + count).map(|number| {
+        let id = format!("j-{number}");
+        let spec = of_team(&id, team, 1);
+        let w = w.clone();
+        async move { (w.submit(number as usize % NODES, &spec).await.0, id) }
+    });
+    join_all(submitted).await
+}
+
+fn count(answers: &[(u16, String)], status: u16) -> usize {
+    answers.iter().filter(|(told, _)| *told == status).count()
+}
+
+#[test]
+fn all_controllers_admit_for_one_team_in_the_same_instant() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        let mut admitted = 0;
+        for round in 0..6 {
+            let answers = burst(&w, round * 100, 30, "blue").await;
+            admitted += count(&answers, 201);
+            let unexpected = answers
+                .iter()
+                .filter(|(told, _)| ![201, 429, 503].contains(told));
+            assert_eq!(unexpected.count(), 0, "{answers:?}");
+            w.run(4.0).await;
+        }
+        // 40 CPUs of the limit, two each.
+        assert_eq!(admitted, 20);
+        assert_within(&w, "blue", LIMIT_CPUS);
+        assert!(most_charged(&w, "blue").get(quota::Kind::Cpus) == 40_000);
+        // What red is guaranteed is not used up by that.
+        burst(&w, 1000, 10, "red").await;
+        let began = w.now();
+        for number in 1000..1010 {
+            let spec = of_team(&format!("j-{number}"), "red", 1);
+            w.submit_surely(number as usize % NODES, &spec).await;
+        }
+        assert!(
+            w.now() - began < 12.0,
+            "only after {:.1} s",
+            w.now() - began
+        );
+        cancel_all(&w).await;
+    });
+}
+
+/// Ends everything, so that the world is left as it must be.
+async fn cancel_all(w: &Rc<World>) {
+    let ids: Vec<String> = {
+        let jobs = w.checks.jobs.borrow();
+        let open = jobs
+            .iter()
+            .filter(|(_, known)| known.accepted.is_some() && known.over.is_none());
+        open.map(|(id, _)| id.clone()).collect()
+    };
+    for id in ids {
+        w.cancel_surely(0, &id).await;
+    }
+}
+
+#[test]
+fn users_repeat_a_submission_at_all_controllers_and_it_is_charged_once() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        for number in 0..20 {
+            let spec = of_team(&format!("j-{number}"), "blue", 1);
+            let told = join_all((0..NODES).map(|node| w.submit(node, &spec))).await;
+            if !told.iter().any(|(status, _)| matches!(status, 200 | 201)) {
+                w.run(1.5).await;
+                w.submit_surely(number % NODES, &spec).await;
+            }
+        }
+        assert_eq!(most_charged(&w, "blue").get(quota::Kind::Cpus), 40_000);
+        // A known one is answered as known though nothing is left, an unknown one at once with when to come back.
+        for node in 0..NODES {
+            let (status, _) = w.submit(node, &of_team("j-3", "blue", 1)).await;
+            assert_eq!(status, 200);
+            let began = w.now();
+            let (status, _) = w.submit(node, &of_team("j-99", "blue", 1)).await;
+            assert_eq!(status, 429);
+            assert!(w.now() - began < 1.0);
+        }
+        // Larger than the team could ever have.
+        let (status, _) = w.submit(1, &of_team("j-98", "blue", 21)).await;
+        assert_eq!(status, 422);
+        cancel_all(&w).await;
+    });
+}
+
+/// Answers are lost, processes end and are back at once, late copies arrive: every charge is counted.
+#[test]
+fn restarts_and_lost_answers_in_a_burst() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        for round in 0..8_u32 {
+            let at = round as usize % NODES;
+            w.state.lines[at].lose_answers.set(2);
+            w.state.lines[(at + 1) % NODES].late_writes.set(2);
+            burst(&w, round * 100, 12, "blue").await;
+            w.kill(at);
+            w.run(0.2).await;
+            w.start(at);
+            w.run(9.0).await;
+        }
+        w.run(10.0).await;
+        w.state.repeat_everything();
+        in_force(&w).await;
+        assert_within(&w, "blue", LIMIT_CPUS);
+        // Nothing is stranded: in the end the whole limit is in use.
+        for round in 0..12 {
+            burst(&w, 2000 + round * 100, 6, "blue").await;
+            w.run(3.0).await;
+        }
+        assert_within(&w, "blue", LIMIT_CPUS);
+        assert_eq!(most_charged(&w, "blue").get(quota::Kind::Cpus), 40_000);
+        cancel_all(&w).await;
+    });
+}
+
+/// A controller that is gone is reclaimed from; its charged jobs stay charged.
+#[test]
+fn a_controller_that_is_gone_gives_up_what_it_does_not_use() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        let spec = of_team("j-1", "blue", 1);
+        w.submit_surely(2, &spec).await;
+        w.kill(2);
+        w.run(60.0).await;
+        let size = allotment(&w, "blue", "n2");
+        assert_eq!(size.get(quota::Kind::Cpus), 2000);
+        for number in 2..21 {
+            let spec = of_team(&format!("j-{number}"), "blue", 1);
+            w.submit_surely(number % 2, &spec).await;
+        }
+        assert_eq!(w.submit(0, &of_team("j-50", "blue", 1)).await.0, 429);
+        // It is back, and asks for what its job no longer takes.
+        w.start(2);
+        w.run(5.0).await;
+        assert_eq!(w.cancel_surely(1, "j-1").await, JobState::Cancelled);
+        w.submit_surely(2, &of_team("j-51", "blue", 1)).await;
+        assert_within(&w, "blue", LIMIT_CPUS);
+        cancel_all(&w).await;
+    });
+}
+
+fn allotment(w: &World, team: &str, node: &str) -> Resources {
+    let account = quota::AccountId::Allotment {
+        team: team.into(),
+        node: node.into(),
+    };
+    let store = w.state.store.borrow();
+    let key = key_of(&account);
+    let (value, _) = &store.keys[&key];
+    let rest = key.strip_prefix(&key::quota("")).unwrap();
+    match change_of(rest, Some(value)) {
+        Some(AccountChange::Allotment {
+            record: Some(record),
+            ..
+        }) => record.size,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A controller that only stood aside wakes after its allotment was reclaimed: what it would admit is refused.
+#[test]
+fn a_controller_cut_off_from_the_store_does_not_admit_what_was_reclaimed() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        w.submit_surely(2, &of_team("j-1", "blue", 1)).await;
+        w.state.refuse(2, 70.0);
+        w.run(20.0).await;
+        assert_eq!(w.submit(2, &of_team("j-2", "blue", 1)).await.0, 503);
+        w.run(55.0).await;
+        in_force(&w).await;
+        for number in 3..22 {
+            let spec = of_team(&format!("j-{number}"), "blue", 1);
+            w.submit_surely(number % NODES, &spec).await;
+        }
+        assert_within(&w, "blue", LIMIT_CPUS);
+        cancel_all(&w).await;
+    });
+}
+
+/// Jobs of an earlier version bear no charge and count against a part of their own, which shrinks as they end.
+#[test]
+fn jobs_without_a_charge_count_until_they_are_over() {
+    play(with_quotas, |w| async move {
+        let bare = |spec: &Submission| JobRecord {
+            spec: spec.clone(),
+            at_ms: None,
+            parts: 0,
+            charged_to: None,
+        };
+        for number in 1..=10 {
+            let spec = of_team(&format!("j-{number}"), "blue", 1);
+            w.expect(&spec);
+            let mut store = w.state.store.borrow_mut();
+            store.put(key::job(&spec.id), &bare(&spec));
+        }
+        begin(&w, 0).await;
+        in_force(&w).await;
+        let mut admitted = 0;
+        for round in 0..6 {
+            let answers = burst(&w, 100 + round * 100, 6, "blue").await;
+            admitted += count(&answers, 201);
+            w.run(3.0).await;
+        }
+        assert_eq!(admitted, 10);
+        for number in 1..=10 {
+            w.cancel_surely(0, &format!("j-{number}")).await;
+        }
+        w.run(5.0).await;
+        for round in 0..6 {
+            let answers = burst(&w, 1100 + round * 100, 6, "blue").await;
+            admitted += count(&answers, 201);
+            w.run(3.0).await;
+        }
+        assert_eq!(admitted, 20);
+        cancel_all(&w).await;
+    });
+}
+
+/// Settings that differ: controllers of the other file aren't ready, and admit nothing.
+#[test]
+fn controllers_with_other_quotas_are_not_ready() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        w.submit_surely(0, &of_team("j-1", "blue", 10)).await;
+        let mut lower = w.config.clone();
+        let text = QUOTAS.replace("limit = { cpus = 40 }", "limit = { cpus = 16 }");
+        lower.features = Features::parse(&text, "features", &lower).unwrap();
+        *w.started_with.borrow_mut() = Some(lower);
+        w.kill(1);
+        w.run(1.0).await;
+        w.start(1);
+        w.run(10.0).await;
+        assert_eq!(w.node(1).unwrap().ready().status, 503);
+        assert_eq!(w.submit(1, &of_team("j-2", "blue", 1)).await.0, 503);
+        // All have the new file: the team holds more than it may, and gets nothing until that has fallen.
+        w.kill(0);
+        w.kill(2);
+        w.run(1.0).await;
+        w.start(0);
+        w.start(2);
+        w.run(15.0).await;
+        in_force(&w).await;
+        for node in 0..NODES {
+            assert_eq!(w.submit(node, &of_team("j-3", "blue", 1)).await.0, 429);
+        }
+        w.cancel_surely(0, "j-1").await;
+        w.run(10.0).await;
+        w.submit_surely(0, &of_team("j-3", "blue", 1)).await;
+        cancel_all(&w).await;
+    });
+}
+
+/// With the feature off nothing is stored of it.
+#[test]
+fn without_the_feature_no_key_or_field_of_it_is_written() {
+    play(super::world::plain, |w| async move {
+        begin(&w, 2).await;
+        w.submit_surely(0, &of_team("j-1", "blue", 3)).await;
+        w.see_the_end(200.0).await;
+        for change in w.state.history() {
+            let (Change::Put { key: name, .. } | Change::Delete { key: name }) = &change;
+            assert!(!name.contains("quota"), "{name}");
+            if let Change::Put { value, .. } = &change {
+                assert!(!value.get().contains("Quota"), "{name}");
+            }
+        }
+    });
+}
--- a/src/node/tests/world/state.rs
+++ b/src/node/tests/world/state.rs
@@ -261,6 +261,21 @@
         outcome
     }
 
+    /// All changes that were made, in their order.
+    pub fn history(&self) -> Vec<Change> {
+        let logged = |logged: &Logged| match &logged.value {
+            Some(value) => Change::Put {
+                key: logged.key.clone(),
+                value: value.clone(),
+                lease: None,
+            },
+            None => Change::Delete {
+                key: logged.key.clone(),
+            },
+        };
+        self.log.borrow().iter().map(logged).collect()
+    }
+
     /// All that was ever sent comes again.
     pub fn repeat_everything(&self) {
         let sent: Vec<Rc<Txn>> = self.sent.borrow().clone();
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use quota::{Attempt, AttemptOutcome};
 use serde_json::value::{RawValue, to_raw_value};
 
 use super::{Node, RETRY_S, STATE_PAUSE_S, USER_WRITES_MAX};
@@ -9,6 +10,7 @@
 use crate::config::StateLimits;
 use crate::http::{Request, Response};
 use crate::leader::TxnOutcome;
+use crate::quota_store::conditions_of;
 use crate::view::{End, EndRecord, JobRecord, JobView, key};
 use crate::wire::{self, Condition, JobState, Kind, Submission, Txn, path};
 
@@ -26,6 +28,14 @@
 const NOT_KNOWN_NOW: &str = "state not known now";
 const TOO_LARGE: &str = "larger than the state service can store";
 
+/// What became of a job's creation.
+pub(super) enum Creation {
+    /// What its user is told.
+    Answer(Response),
+    /// The job is not known, but some other condition failed.
+    Conflict,
+}
+
 impl Node {
     pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response {
         let route = request.path.split('?').next().unwrap_or_default();
@@ -60,9 +70,10 @@
         let served = self.state_heard.get().is_some_and(|t| now - t < within);
         // Without the state service users are no better off elsewhere, unless others have it, or may:
         // a node that hears no other one either is cut off.
+        let quota_agrees = self.quota_agrees();
         let outage = self.config.peers.is_empty()
             || self.peers.any_heard(now, within) && !self.peers.any_has_state(now, within);
-        if able && (served || outage) {
+        if able && quota_agrees && (served || outage) {
             Response::json(200, &serde_json::json!({ "ready": true }))
         } else {
             Response::later(503, "not ready", RETRY_S)
@@ -138,22 +149,54 @@
 
     /// Stores a new job; what its user is told.
     async fn store_submission(&self, job: &Submission) -> Response {
+        if let Some(quota) = &self.quota {
+            return self.store_charged(quota, job).await;
+        }
+        match self.create(job, None).await {
+            Creation::Answer(answer) => answer,
+            Creation::Conflict => Response::later(503, NOT_KNOWN_NOW, RETRY_S),
+        }
+    }
+
+    /// Stores a new job that is charged to an allotment, on that attempt's conditions.
+    pub(super) async fn create(&self, job: &Submission, attempt: Option<&Attempt>) -> Creation {
         let state = &self.config.deployment.state;
-        let Some(txn) = creation(job, self.rt.unix_ms(), state) else {
-            return self.refuse_as_too_large(job).await;
+        let charged_to = attempt.map(|_| self.config.node.as_str().into());
+        let Some(mut txn) = creation(job, self.rt.unix_ms(), charged_to, state) else {
+            self.creation_over(attempt, AttemptOutcome::NotApplied);
+            return Creation::Answer(self.refuse_as_too_large(job).await);
         };
-        match self.user_write(&txn).await {
+        if let Some(attempt) = attempt {
+            txn.conditions.extend(conditions_of(&attempt.conditions()));
+        }
+        let outcome = self.user_write(&txn).await;
+        self.creation_over(
+            attempt,
+            match outcome {
+                TxnOutcome::Refused | TxnOutcome::TooLarge => AttemptOutcome::NotApplied,
+                _ => AttemptOutcome::MayBeApplied,
+            },
+        );
+        Creation::Answer(match outcome {
             // While the answer was under way another node may have told its end.
-            Some(TxnOutcome::Applied(_)) => self.final_state(&job.id, 200).unwrap_or_else(|| {
+            TxnOutcome::Applied(_) => self.final_state(&job.id, 200).unwrap_or_else(|| {
                 // One that names a cancelled job is accepted, and cancelled from the start.
                 let mut fresh = JobView::default();
                 fresh.needs_cancelled = self.needs_cancelled(job);
                 Response::json(201, &fresh.status(&job.id))
             }),
-            Some(TxnOutcome::Conflict(_)) if self.barrier().await => self.tell(&job.id, 200),
-            Some(TxnOutcome::TooLarge) => self.refuse_as_too_large(job).await,
+            TxnOutcome::Conflict(_) if self.barrier().await => match self.known(&job.id) {
+                Some(answer) => answer,
+                None => return Creation::Conflict,
+            },
+            TxnOutcome::TooLarge => self.refuse_as_too_large(job).await,
             _ => Response::later(503, "could not be stored now", RETRY_S),
-        }
+        })
+    }
+
+    /// The job's state after a barrier, if it is known.
+    pub(super) fn known(&self, id: &str) -> Option<Response> {
+        self.is_known(id).then(|| self.tell(id, 200))
     }
 
     /// A job that can't be stored now may have been accepted a moment ago, by a controller that stores larger values.
@@ -241,19 +284,19 @@
             }],
         };
         match self.user_write(&txn).await {
-            Some(TxnOutcome::Applied(_)) => job_answer(200, id, &JobView::ended(record)),
-            Some(TxnOutcome::Conflict(_)) if self.barrier().await => self
+            TxnOutcome::Applied(_) => job_answer(200, id, &JobView::ended(record)),
+            TxnOutcome::Conflict(_) if self.barrier().await => self
                 .final_state(id, 200)
                 .unwrap_or_else(|| Response::later(503, "changing", RETRY_S)),
             _ => Response::later(503, "could not be stored now", RETRY_S),
         }
     }
 
-    /// Stores something for a user, within this node's share of the writes. None: too much is
-    /// under way, or the store gave no definite word in time.
-    pub(super) async fn user_write(&self, txn: &Txn) -> Option<TxnOutcome> {
+    /// Stores something for a user, within this node's share of the writes. `Refused`: it surely was not stored, as
+    /// too much is under way or the store refused it. `Unknown`: the store gave no definite answer in time.
+    pub(super) async fn user_write(&self, txn: &Txn) -> TxnOutcome {
         if self.user_writes_live.get() >= USER_WRITES_MAX {
-            return None;
+            return TxnOutcome::Refused;
         }
         self.user_writes_live.set(self.user_writes_live.get() + 1);
         let outcome = self.paced_user_write(txn).await;
@@ -261,27 +304,31 @@
         outcome
     }
 
-    pub(super) async fn paced_user_write(&self, txn: &Txn) -> Option<TxnOutcome> {
+    pub(super) async fn paced_user_write(&self, txn: &Txn) -> TxnOutcome {
         let deadline = self.now() + USER_WRITE_S;
         let wait = self.user_writes.take(1.0, self.now());
         if wait > USER_WRITE_S / 2.0 {
             // What can't be done in time is refused now, not after waiting.
             self.user_writes.give_back(1.0);
-            return None;
+            return TxnOutcome::Refused;
         }
         self.rt.sleep(wait).await;
+        let mut without_success = TxnOutcome::Refused;
         loop {
             let outcome = self.store.txn(txn).await;
             self.pace_users(&outcome);
             match outcome {
                 TxnOutcome::Applied(_) | TxnOutcome::Conflict(_) | TxnOutcome::TooLarge => {
                     self.heard_state();
-                    return Some(outcome);
+                    return outcome;
                 }
                 // The same again does no harm: it creates only what is absent.
                 TxnOutcome::Refused | TxnOutcome::Unknown => {
+                    if outcome == TxnOutcome::Unknown {
+                        without_success = outcome;
+                    }
                     if self.now() + STATE_PAUSE_S > deadline {
-                        return None;
+                        return without_success;
                     }
                     self.rt.sleep(STATE_PAUSE_S).await;
                 }
@@ -304,12 +351,18 @@
 
 /// Stores a job, if neither it nor its end is there. One that waits on more jobs than fit into a value tells of
 /// the rest in others, stored with it. None if it can't be stored.
-pub(crate) fn creation(job: &Submission, at_ms: u64, limits: &StateLimits) -> Option<Txn> {
+pub(crate) fn creation(
+    job: &Submission,
+    at_ms: u64,
+    charged_to: Option<Rc<str>>,
+    limits: &StateLimits,
+) -> Option<Txn> {
     let value_max = (limits.value_kb * 1024.0) as usize;
     let mut record = JobRecord {
         spec: job.clone(),
         at_ms: Some(at_ms),
         parts: 0,
+        charged_to,
     };
     let mut values = vec![(key::job(&job.id), to_raw_value(&record).ok()?)];
     if values[0].1.get().len() > value_max {
--- /dev/null
+++ b/src/quota_report.rs
@@ -0,0 +1,141 @@
+//! What operators see of quotas: limits, usage and allotments as stored.
+
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::rc::Rc;
+
+use quota::{AllotmentRecord, Ledger, QuotaSettings};
+
+use crate::config::Config;
+use crate::rt::{Rt, Scope};
+use crate::store::{Store, StoreError};
+use crate::view::{View, key};
+
+/// Why there is no report.
+#[derive(Debug, thiserror::Error)]
+pub enum ReportError {
+    /// The features file enables no quotas.
+    #[error("quotas are not enabled: the features file has no section quota")]
+    NotEnabled,
+    /// The state service can't be read.
+    #[error("state service: {0}")]
+    Store(String),
+    /// The event loop can't run.
+    #[error(transparent)]
+    Loop(#[from] calloop::Error),
+}
+
+/// Reads the store and tells how quotas stand.
+pub fn report(config: Config) -> Result<String, ReportError> {
+    let settings = config
+        .features
+        .quota
+        .clone()
+        .ok_or(ReportError::NotEnabled)?;
+    let read: Rc<RefCell<Option<Result<Ledger, StoreError>>>> = Rc::default();
+    let result = read.clone();
+    Rt::run::<calloop::Error>(move |rt| {
+        let root = Scope::new(rt);
+        let rt = rt.clone();
+        let store = Store::new(&rt, config.services.state, &config);
+        root.spawn(async move {
+            *result.borrow_mut() = Some(read_ledger(&store).await);
+            rt.stop();
+        });
+        Ok(root)
+    })?;
+    match read.take() {
+        Some(Ok(ledger)) => Ok(text(&settings, &ledger)),
+        Some(Err(e)) => Err(ReportError::Store(e.to_string())),
+        None => Err(ReportError::Store("no answer".into())),
+    }
+}
+
+async fn read_ledger(store: &Store) -> Result<Ledger, StoreError> {
+    let mut view = View::with_quota();
+    let mut after = String::new();
+    loop {
+        let page = store.list(key::ROOT, &after).await?;
+        for item in &page.items {
+            view.apply(&item.key, Some(&item.value), item.version);
+        }
+        match page.items.last() {
+            Some(last) if page.more => after = last.key.clone(),
+            _ => break,
+        }
+    }
+    Ok(view.quota.unwrap_or_default())
+}
+
+/// The report's text.
+pub fn text(settings: &QuotaSettings, ledger: &Ledger) -> String {
+    let mut out = String::new();
+    // Writing to a string can't fail.
+    let _ = write_report(&mut out, settings, ledger);
+    out
+}
+
+fn write_report(out: &mut String, settings: &QuotaSettings, ledger: &Ledger) -> std::fmt::Result {
+    match ledger.settings() {
+        None => writeln!(out, "settings: none in force")?,
+        Some((record, _)) => {
+            let state = match (record.digest == settings.digest(), record.open) {
+                (false, _) => "not those of this file",
+                (true, false) => "being put in force",
+                (true, true) => "in force",
+            };
+            let (digest, generation) = (&record.digest, record.generation);
+            writeln!(out, "settings: {digest}, generation {generation}, {state}")?;
+        }
+    }
+    writeln!(out, "total: {}", settings.total())?;
+    let lent = ledger.shared_free();
+    writeln!(
+        out,
+        "free to be lent: {}",
+        lent.map_or("-".into(), |free| free.to_string())
+    )?;
+    let mut names: Vec<Rc<str>> = ledger.team_names().cloned().collect();
+    names.extend(settings.teams().map(|(name, _)| name.into()));
+    names.sort_unstable();
+    names.dedup();
+    for name in names {
+        write_team(out, settings, ledger, &name)?;
+    }
+    Ok(())
+}
+
+fn write_team(
+    out: &mut String,
+    settings: &QuotaSettings,
+    ledger: &Ledger,
+    name: &str,
+) -> std::fmt::Result {
+    let team = settings.team(name);
+    writeln!(
+        out,
+        "team {name}: guaranteed {}, limit {}",
+        team.guaranteed, team.limit
+    )?;
+    let Some(usage) = ledger.team_usage(name) else {
+        return Ok(());
+    };
+    writeln!(
+        out,
+        "  used {}, holds {}, free {}",
+        usage.used, usage.held, usage.free
+    )?;
+    for (node, record, used) in usage.allotments {
+        let owner = match record.incarnation {
+            AllotmentRecord::NOBODY => ", reclaimed",
+            _ if ledger.is_present(&node) => "",
+            _ => ", its controller is away",
+        };
+        writeln!(
+            out,
+            "  allotment of {node}: {}, used {used}{owner}",
+            record.size
+        )?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/quota_store/tests.rs
@@ -0,0 +1,68 @@
+//! Tests of `quota_store`.
+
+use quota::{AllotmentRecord, OwnerRecord, SettingsRecord, SharedRecord, TeamRecord};
+
+use super::*;
+
+fn amount(cpus: f64) -> Resources {
+    Resources::of_job(1, cpus, 0.0, 0.0)
+}
+
+/// Whatever names hold, keys are the protocol's and lead back to the accounts.
+#[test]
+fn accounts_are_read_as_they_were_written() {
+    let names = ["blue", "fleet ops", "a/b", "100%", "Köln", ".."];
+    for name in names {
+        let (team, node): (Rc<str>, Rc<str>) = (name.into(), "n/0".into());
+        let changes = [
+            AccountChange::Settings(Some(SettingsRecord {
+                digest: "d".into(),
+                generation: 3,
+                open: true,
+            })),
+            AccountChange::Shared(Some(SharedRecord {
+                free: Resources::ZERO - amount(2.0),
+            })),
+            AccountChange::Team(
+                team.clone(),
+                Some(TeamRecord {
+                    generation: 3,
+                    held: amount(4.0),
+                    free: amount(1.0),
+                    uncharged: Resources::ZERO,
+                }),
+            ),
+            AccountChange::Owner(node.clone(), Some(OwnerRecord { incarnation: 9 })),
+            AccountChange::Allotment {
+                team: team.clone(),
+                node: node.clone(),
+                record: Some(AllotmentRecord {
+                    incarnation: u64::MAX,
+                    size: amount(0.5),
+                }),
+            },
+            AccountChange::Team(team.clone(), None),
+        ];
+        for change in changes {
+            let (name, value) = match change_to(&change).unwrap() {
+                wire::Change::Put { key, value, .. } => (key, Some(value)),
+                wire::Change::Delete { key } => (key, None),
+            };
+            assert!(
+                name.len() <= 200 && name.bytes().all(|b| b.is_ascii_graphic()),
+                "{name}"
+            );
+            let rest = name.strip_prefix(&key::quota("")).unwrap();
+            assert_eq!(change_of(rest, value.as_deref()), Some(change));
+        }
+    }
+}
+
+#[test]
+fn what_is_not_understood_changes_nothing() {
+    for rest in ["", "later", "team/%ff", "allotment/blue"] {
+        assert_eq!(change_of(rest, None), None, "{rest}");
+    }
+    let garbled = RawValue::from_string("{\"free\":7}".into()).unwrap();
+    assert_eq!(change_of("shared", Some(&garbled)), None);
+}
--- a/src/rt.rs
+++ b/src/rt.rs
@@ -146,7 +146,6 @@
     }
 
     /// Ends the loop, and with it all routines, after the present turn.
-    #[cfg(test)]
     pub fn stop(&self) {
         self.0.over.set(true);
     }
--- a/src/tests/dependency_graphs.rs
+++ b/src/tests/dependency_graphs.rs
@@ -167,6 +167,7 @@
     }
     let id = spec.id.clone();
     let record = JobRecord {
+        charged_to: None,
         spec,
         at_ms: job
             .has_time
--- a/src/tests/state_limits.rs
+++ b/src/tests/state_limits.rs
@@ -76,7 +76,7 @@
     for _ in 0..600 {
         let limits = draw_limits(&mut rng);
         let spec = draw_submission(&mut rng);
-        let Some(txn) = creation(&spec, UNIX_MS, &limits) else {
+        let Some(txn) = creation(&spec, UNIX_MS, None, &limits) else {
             let bytes = serde_json::to_vec(&spec).unwrap().len() as f64;
             let room = limits.value_kb * 1024.0 * (limits.txn_ops - 1) as f64;
             // Ids take as much as the longest, and a value may hold one less than would fit.
@@ -167,7 +167,7 @@
             if at > 0 && rng.random_bool(0.5) {
                 spec.waits_on = ids[..at].to_vec();
             }
-            let txn = creation(&spec, UNIX_MS, &limits).expect("it fits");
+            let txn = creation(&spec, UNIX_MS, None, &limits).expect("it fits");
             store.apply(&txn);
         }
         let mut leader = store.elect_with(config_with(limits.clone()), "n0", 0.0);
--- a/src/tests/stored_formats.rs
+++ b/src/tests/stored_formats.rs
@@ -180,7 +180,12 @@
         ] {
             let spec: Submission = serde_json::from_str(sample).unwrap();
             let spec = Submission { waits_on, ..spec };
-            let record = JobRecord { spec, at_ms, parts };
+            let record = JobRecord {
+                spec,
+                at_ms,
+                parts,
+                charged_to: None,
+            };
             assert_eq!(production_keeps(&key::job("j-1"), &record), sample);
         }
     }
@@ -215,12 +220,14 @@
             session: 3,
         }],
         runs: vec![("sums|None|None|false".into(), mean)],
+        shortages: Vec::new(),
     };
     let empty = Heartbeat {
         host: "n2".into(),
         state_s: None,
         workers: Vec::new(),
         runs: Vec::new(),
+        shortages: Vec::new(),
     };
     for (sample, frame) in HEARTBEAT.iter().zip([full, empty]) {
         let sample = bytes(sample);
@@ -264,7 +271,7 @@
         waits_on: many,
         ..job("j-2", 1)
     };
-    let split = creation(&split, UNIX_MS, &config.deployment.state).unwrap();
+    let split = creation(&split, UNIX_MS, None, &config.deployment.state).unwrap();
     store.apply(&split);
     let after = Submission {
         waits_on: vec!["j-1".into()],
--- a/src/view.rs
+++ b/src/view.rs
@@ -5,9 +5,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
+use quota::{AccountChange, Ledger, Resources};
 use serde_json::value::RawValue;
 
 use crate::graph::{Graph, JobOutcome, ReadinessChanges};
+use crate::quota_store::{change_of, charge_of};
 use crate::rt::Time;
 use crate::wire::{JobState, JobStatus, MachineType, Submission};
 
@@ -52,6 +54,10 @@
     pub fn end(id: &str) -> String {
         format!("{ROOT}end/{id}")
     }
+    /// Records of quotas.
+    pub fn quota(rest: &str) -> String {
+        format!("{ROOT}quota/{rest}")
+    }
     /// A value of the log that tells where tasks are.
     pub fn run(number: u64) -> String {
         format!("{ROOT}run/{number}")
@@ -94,12 +100,23 @@
     /// Values that tell of more jobs that it waits on, and how many of them are not known yet.
     pub parts: u32,
     parts_missing: u32,
+    /// What it takes of its team's quota, until it is done or its record is cleared away.
+    charge: Option<Charge>,
     /// Tasks that the log tells of, with the number of the value that does.
     pub tasks: BTreeMap<u32, (u64, Mark)>,
     done: u32,
     on_machines: u32,
 }
 
+/// What a job takes of its team's quota.
+#[derive(Debug, Clone)]
+struct Charge {
+    team: Rc<str>,
+    /// The controller to whose allotment it is charged, unless an earlier version stored the job.
+    node: Option<Rc<str>>,
+    amount: Resources,
+}
+
 impl JobView {
     /// A job that is over.
     pub fn ended(record: EndRecord) -> Self {
@@ -222,9 +239,23 @@
     whole: bool,
     /// Parts of jobs that are gone.
     pub loose: BTreeSet<String>,
+    /// What is stored of quotas, and used of them, if they are enabled here.
+    pub quota: Option<Ledger>,
+    /// Whether quotas are in force, enabled here or not.
+    pub has_quota_settings: bool,
+    /// The moment at which changes are taken in.
+    pub now: Time,
 }
 
 impl View {
+    /// Nothing yet; quotas are followed too.
+    pub fn with_quota() -> Self {
+        View {
+            quota: Some(Ledger::default()),
+            ..View::default()
+        }
+    }
+
     /// Takes in a key's new value, or its deletion.
     pub fn apply(&mut self, key: &str, value: Option<&RawValue>, version: u64) -> Option<Change> {
         let rest = key.strip_prefix(key::ROOT)?;
@@ -258,6 +289,10 @@
                 self.apply_needs(key, rest, value);
                 None
             }
+            "quota" => {
+                self.apply_quota(rest, value, version);
+                None
+            }
             "run" => {
                 self.apply_log(rest.parse().ok()?, value);
                 None
@@ -273,9 +308,11 @@
             job.spec = None;
             job.waits = false;
             job.forget_tasks();
+            let charge = job.charge.take();
             if !job.is_known() {
                 self.jobs.remove(&id);
             }
+            self.release(charge);
             return Some(Change::Job(id));
         };
         let job = self.jobs.entry(id.clone()).or_default();
@@ -287,6 +324,16 @@
             job.at_ms = record.at_ms;
             job.waits = !record.spec.waits_on.is_empty() || record.parts > 0;
             (job.parts, job.parts_missing) = (record.parts, record.parts);
+            let is_done = job.end.is_some_and(|end| end.end == End::Done);
+            if let Some(ledger) = self.quota.as_mut().filter(|_| !is_done) {
+                let charge = Charge {
+                    team: record.spec.team.as_str().into(),
+                    node: record.charged_to,
+                    amount: charge_of(&record.spec),
+                };
+                ledger.charge(&charge.team, charge.node.as_ref(), charge.amount);
+                job.charge = Some(charge);
+            }
             job.spec = Some(Rc::new(record.spec));
             job.order = version;
             self.enter_graph(&id);
@@ -294,10 +341,42 @@
         Some(Change::Job(id))
     }
 
+    fn release(&mut self, charge: Option<Charge>) {
+        if let (Some(ledger), Some(charge)) = (&mut self.quota, charge) {
+            ledger.release(&charge.team, charge.node.as_ref(), charge.amount, self.now);
+        }
+    }
+
+    fn apply_quota(&mut self, rest: &str, value: Option<&RawValue>, version: u64) {
+        let Some(change) = change_of(rest, value) else {
+            return;
+        };
+        if let AccountChange::Settings(record) = &change {
+            self.has_quota_settings = record.is_some();
+        }
+        if let Some(ledger) = &mut self.quota {
+            ledger.apply(change, version);
+        }
+    }
+
+    /// Everything up to a revision is known.
+    pub fn reached(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+        if let Some(ledger) = &mut self.quota {
+            ledger.reached(revision);
+        }
+    }
+
     fn apply_end(&mut self, id: &str, value: &RawValue) -> Option<Change> {
         let id: Rc<str> = id.into();
         let record = parse::<EndRecord>(value)?;
-        self.jobs.entry(id.clone()).or_default().end = Some(record);
+        let job = self.jobs.entry(id.clone()).or_default();
+        job.end = Some(record);
+        if record.end == End::Done {
+            // Of a cancelled one tasks may still be on machines: its charge lasts as long as its record.
+            let charge = job.charge.take();
+            self.release(charge);
+        }
         if self.whole {
             self.graph.ended(&id, record.end == End::Done);
         }
--- a/src/view/records.rs
+++ b/src/view/records.rs
@@ -1,5 +1,7 @@
 //! What is stored: names of keys, and the records under them.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::wire::Submission;
@@ -48,6 +50,9 @@
     /// Values under [`super::key::needs`] with the rest of the jobs that it waits on: a value's size is limited.
     #[serde(rename = "Parts", default, skip_serializing_if = "is_none")]
     pub parts: u32,
+    /// The controller to whose allotment of its team's quota it is charged.
+    #[serde(rename = "Quota", default, skip_serializing_if = "Option::is_none")]
+    pub charged_to: Option<Rc<str>>,
 }
 
 pub(super) fn is_none(n: &u32) -> bool {
