--- /dev/null
+++ b/crates/loadtest/src/controllers.rs
@@ -0,0 +1,182 @@
+//! Controllers as real processes.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::http::{call, serve};
+
+const TYPES: &str = r#"{"Rigs":[{"Name":"small","Cores":64,"Gpus":0,"MemoryGb":512,"CacheGb":50,
+    "PullGbPerS":1.0,"Rate":0.8,"SpotPrice":0.2,"ReadyS":30,"Yards":["z0","z1","z2"]}]}"#;
+const CALL: Duration = Duration::from_secs(2);
+
+/// How controllers are started.
+pub struct Setup {
+    /// The program.
+    pub program: PathBuf,
+    /// Where settings are written.
+    pub folder: PathBuf,
+    /// How many controllers.
+    pub count: usize,
+    /// Teams that the platform knows.
+    pub teams: Vec<String>,
+    /// The features file's text; none: all features are off.
+    pub features: Option<String>,
+}
+
+/// The processes.
+pub struct Controllers {
+    setup: Setup,
+    fronts: Vec<SocketAddr>,
+    processes: Vec<Option<Child>>,
+}
+
+fn free_addr() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+/// A cloud that knows one machine type and never has one: jobs wait until they are cancelled.
+fn start_cloud() -> io::Result<SocketAddr> {
+    serve(
+        |request| match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/flavors") => (200, TYPES.into()),
+            ("GET", path) if path.starts_with("/hosts") => {
+                (200, r#"{"Hosts":[],"Truncated":false}"#.into())
+            }
+            ("POST", "/hosts") => (503, r#"{"error":"no capacity"}"#.into()),
+            _ => (200, "{}".into()),
+        },
+    )
+}
+
+impl Controllers {
+    /// Starts all against a state service.
+    pub fn start(setup: Setup, state: SocketAddr) -> io::Result<Self> {
+        let cloud = start_cloud()?;
+        let mut fronts = Vec::new();
+        let mut links = Vec::new();
+        for _ in 0..setup.count {
+            fronts.push(free_addr()?);
+            links.push(free_addr()?);
+        }
+        for at in 0..setup.count {
+            let text = settings(&setup, at, &fronts, &links, cloud, state);
+            std::fs::write(setup.folder.join(format!("n{at}.toml")), text)?;
+        }
+        if let Some(features) = &setup.features {
+            std::fs::write(setup.folder.join("features.toml"), features)?;
+        }
+        let processes = (0..setup.count).map(|_| None).collect();
+        let mut controllers = Controllers {
+            setup,
+            fronts,
+            processes,
+        };
+        for at in 0..controllers.setup.count {
+            controllers.restart(at)?;
+        }
+        Ok(controllers)
+    }
+
+    /// Where users reach them.
+    pub fn fronts(&self) -> &[SocketAddr] {
+        &self.fronts
+    }
+
+    /// Kills a controller's process, if there is one, and starts another.
+    pub fn restart(&mut self, at: usize) -> io::Result<()> {
+        self.kill(at)?;
+        let folder: &Path = &self.setup.folder;
+        let mut command = Command::new(&self.setup.program);
+        command
+            .arg("run")
+            .arg("--config")
+            .arg(folder.join(format!("n{at}.toml")));
+        if self.setup.features.is_some() {
+            command.arg("--features").arg(folder.join("features.toml"));
+        }
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(folder.join(format!("n{at}.log")))?;
+        let child = command.stdin(Stdio::null()).stderr(log).spawn()?;
+        self.processes[at] = Some(child);
+        Ok(())
+    }
+
+    /// Kills a controller's process.
+    pub fn kill(&mut self, at: usize) -> io::Result<()> {
+        if let Some(mut child) = self.processes[at].take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Waits until all are ready.
+    pub fn wait_until_ready(&self, limit: Duration) -> io::Result<()> {
+        let deadline = Instant::now() + limit;
+        for front in &self.fronts {
+            loop {
+                if matches!(call(*front, "GET", "/ready", "", CALL), Ok((200, _))) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(io::Error::new(
+                        io::ErrorKind::TimedOut,
+                        format!("{front} is not ready"),
+                    ));
+                }
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for at in 0..self.processes.len() {
+            // A process that can't be killed has ended.
+            let _ = self.kill(at);
+        }
+    }
+}
+
+fn settings(
+    setup: &Setup,
+    at: usize,
+    fronts: &[SocketAddr],
+    links: &[SocketAddr],
+    cloud: SocketAddr,
+    state: SocketAddr,
+) -> String {
+    let mut text = format!(
+        "host_name = \"n{at}\"\ndomain = \"z{}\"\nfront = \"{}\"\ncluster_listen = \"{}\"\n",
+        at % 3,
+        fronts[at],
+        links[at]
+    );
+    for (other, link) in links.iter().enumerate().filter(|(other, _)| *other != at) {
+        text += &format!(
+            "[[known]]\nhost_name = \"n{other}\"\ndomain = \"z{}\"\nendpoint = \"{link}\"\n",
+            other % 3
+        );
+    }
+    text += &format!(
+        "[services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[deployment]\ncount = {}\n\
+         zones = [\"z0\", \"z1\", \"z2\"]\n",
+        setup.count
+    );
+    for team in &setup.teams {
+        text += &format!("[[deployment.teams]]\nname = \"{team}\"\n");
+    }
+    text += "[deployment.workers]\nreport_s = 1.0\nlease_s = 6.0\ngang_wait_s = 20.0\n\
+             gang_peer_s = 4.0\ncancel_s = 20.0\n\
+             [deployment.state]\nrps = 4000.0\nwrite_rps = 1000.0\nvalue_kb = 16.0\ntxn_ops = 16\n\
+             [deployment.cloud]\nrps = 10.0\nlist_lag_s = 2.0\n\
+             [deployment.limits]\ncores = 1.0\nram_mb = 500.0\nmax_sockets = 2000\n";
+    text
+}
--- /dev/null
+++ b/crates/loadtest/src/lib.rs
@@ -0,0 +1,11 @@
+//! Real controllers on loopback under load: thousands of submissions at once, processes killed and started again,
+//! against stand-ins of the state service and the cloud. What was stored is judged afterwards by its history.
+
+#![warn(missing_docs)]
+
+pub mod controllers;
+pub mod http;
+pub mod report;
+pub mod state_service;
+pub mod users;
+pub mod verdict;
--- /dev/null
+++ b/crates/loadtest/src/report.rs
@@ -0,0 +1,78 @@
+//! The report of a run, as one HTML page.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use plotters::prelude::*;
+
+use crate::verdict::Point;
+
+const SIZE: (u32, u32) = (900, 320);
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 1.0];
+
+/// A plot of teams' usage and of a limit.
+pub fn usage_plot(usage: &BTreeMap<String, Vec<Point>>, limit: f64) -> Result<String, String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        draw(&area, usage, limit).map_err(|e| e.to_string())?;
+    }
+    Ok(svg)
+}
+
+fn draw(
+    area: &DrawingArea<SVGBackend<'_>, plotters::coord::Shift>,
+    usage: &BTreeMap<String, Vec<Point>>,
+    limit: f64,
+) -> Result<(), Box<dyn std::error::Error>> {
+    area.fill(&WHITE)?;
+    let last = usage.values().filter_map(|points| points.last());
+    let until = last.map(|point| point.at.as_secs_f64()).fold(1.0, f64::max);
+    let top = usage
+        .values()
+        .map(|points| crate::verdict::most(points))
+        .fold(limit, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .margin(8)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..until, 0.0..top * 1.1)?;
+    chart.configure_mesh().x_desc("s").y_desc("CPUs").draw()?;
+    for (at, points) in usage.values().enumerate() {
+        let color = Palette99::pick(at).to_rgba();
+        let line = points
+            .iter()
+            .map(|point| (point.at.as_secs_f64(), point.cpus));
+        chart.draw_series(LineSeries::new(line, &color))?;
+    }
+    chart.draw_series(LineSeries::new([(0.0, limit), (until, limit)], &RED))?;
+    area.present()?;
+    Ok(())
+}
+
+/// Quantiles of latencies, as a row of a table.
+pub fn latency_row(name: &str, latencies: &Histogram<u64>) -> String {
+    let mut row = format!("<tr><td>{name}</td><td>{}</td>", latencies.len());
+    for quantile in QUANTILES {
+        let millis = latencies.value_at_quantile(quantile) as f64 / 1000.0;
+        // Writing to a string can't fail.
+        let _ = write!(row, "<td>{millis:.1}</td>");
+    }
+    row + "</tr>"
+}
+
+/// The whole page.
+pub fn page(title: &str, facts: &[(String, String)], latencies: &[String], plot: &str) -> String {
+    let rows: String = facts
+        .iter()
+        .map(|(name, value)| format!("<tr><td>{name}</td><td>{value}</td></tr>"))
+        .collect();
+    format!(
+        "<!DOCTYPE html><html><head><meta charset=\"utf-8\"><title>{title}</title></head><body><h1>{title}</h1>\
+         <table border=\"1\">{rows}</table><h2>CPUs of unfinished jobs; red: the limit</h2>{plot}\
+         <h2>Latency of submissions, ms</h2><table border=\"1\"><tr><th></th><th>count</th><th>median</th>\
+         <th>0.9</th><th>0.99</th><th>most</th></tr>{}</table></body></html>",
+        latencies.concat()
+    )
+}
--- /dev/null
+++ b/crates/loadtest/src/verdict.rs
@@ -0,0 +1,65 @@
+//! What the state service held at each revision, recomputed from the records of jobs alone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::state_service::Committed;
+
+/// CPUs of a team's unfinished jobs after a change.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Point {
+    /// When.
+    pub at: Duration,
+    /// How many.
+    pub cpus: f64,
+}
+
+/// The CPUs of unfinished jobs over time, by team. A job counts until it is done, or cancelled and its record cleared.
+pub fn usage(history: &[Committed]) -> BTreeMap<String, Vec<Point>> {
+    let mut jobs: BTreeMap<String, (String, f64)> = BTreeMap::new();
+    let mut sums: BTreeMap<String, f64> = BTreeMap::new();
+    let mut usage: BTreeMap<String, Vec<Point>> = BTreeMap::new();
+    for committed in history {
+        let mut parts = committed.key.rsplitn(3, '/');
+        let (Some(id), Some(family)) = (parts.next(), parts.next()) else {
+            continue;
+        };
+        let (team, cpus) = match (family, &committed.value) {
+            ("job", Some(job)) => {
+                let team = job["Crew"].as_str().unwrap_or_default().to_owned();
+                let cpus =
+                    job["Cores"].as_f64().unwrap_or(0.0) * job["Legs"].as_f64().unwrap_or(0.0);
+                jobs.insert(id.into(), (team.clone(), cpus));
+                (team, cpus)
+            }
+            ("end", Some(end)) if end["end"] != "done" => continue,
+            ("job", None) | ("end", Some(_)) => match jobs.remove(id) {
+                Some((team, cpus)) => (team, -cpus),
+                None => continue,
+            },
+            _ => continue,
+        };
+        let sum = sums.entry(team.clone()).or_default();
+        *sum += cpus;
+        let point = Point {
+            at: committed.at,
+            cpus: *sum,
+        };
+        usage.entry(team).or_default().push(point);
+    }
+    usage
+}
+
+/// The largest value.
+pub fn most(points: &[Point]) -> f64 {
+    points.iter().map(|point| point.cpus).fold(0.0, f64::max)
+}
+
+/// Writes to keys of a family: `job`, `quota`.
+pub fn writes(history: &[Committed], family: &str) -> usize {
+    let part = format!("/{family}/");
+    history
+        .iter()
+        .filter(|committed| committed.key.contains(&part))
+        .count()
+}
--- a/crates/quota/tests/schedules.rs
+++ b/crates/quota/tests/quotas/schedules.rs
@@ -1,14 +1,12 @@
 //! Generated schedules of admissions, ends, transfers, restarts, lost and late answers. What the store held at each
 //! revision is judged by its history alone.
 
-mod support;
-
+use crate::support::checker::{check_history, check_lowered};
+use crate::support::settings;
+use crate::support::world::World;
 use quota::{Kind, Resources};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use support::checker::{check_history, check_lowered};
-use support::settings;
-use support::world::World;
 
 const TEAMS: [&str; 3] = ["red", "blue", "green"];
 const STEPS: usize = 400;
--- a/crates/quota/tests/support/world.rs
+++ b/crates/quota/tests/quotas/support/world.rs
@@ -379,6 +379,27 @@
         );
     }
 
+    /// What a controller may still admit, as it sees it.
+    pub fn available(&self, at: usize, team: &str) -> Resources {
+        let controller = &self.controllers[at];
+        controller.admissions.available(&controller.ledger, team)
+    }
+
+    /// The size of a controller's allotment as stored.
+    pub fn allotted(&self, at: usize, team: &str) -> Resources {
+        let key = Key::Account(quota::AccountId::Allotment {
+            team: team.into(),
+            node: format!("n{at}").as_str().into(),
+        });
+        match &self.store.values[&key].0 {
+            Change::Account(AccountChange::Allotment {
+                record: Some(record),
+                ..
+            }) => record.size,
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// All accounts, for the message of a failure.
     fn accounts(&self) -> String {
         let accounts = self.store.values.iter();
