Quotas: ready only once they were in force; a warning where files differ

Change: at the start a controller is ready once its quotas are in force; the load tool tells what was said with refusals.

--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -151,6 +151,9 @@
     for (name, value) in &facts {
         println!("{name}: {value}");
     }
+    for (reason, count) in on.told.reasons.lock().map_err(|e| e.to_string())?.iter() {
+        println!("  {count} times {reason}");
+    }
     let mut rows = Vec::new();
     for (name, outcome) in [("quotas off", &off), ("quotas on", &on)] {
         let latencies = outcome.told.latencies.lock().map_err(|e| e.to_string())?;
--- a/crates/loadtest/src/users.rs
+++ b/crates/loadtest/src/users.rs
@@ -35,6 +35,8 @@
 pub struct Told {
     /// Answers by status; 0: none.
     pub statuses: Mutex<std::collections::BTreeMap<u16, u64>>,
+    /// What was said with answers other than 200 and 201.
+    pub reasons: Mutex<std::collections::BTreeMap<String, u64>>,
     /// Latencies of submissions in microseconds.
     pub latencies: Mutex<Histogram<u64>>,
 }
@@ -44,11 +46,16 @@
         let histogram = Histogram::new_with_max(LATENCY_MAX_US, DIGITS);
         Told {
             statuses: Mutex::default(),
+            reasons: Mutex::default(),
             latencies: Mutex::new(histogram.expect("bounds that are constant and valid")),
         }
     }
 
-    fn note(&self, status: u16, took: Duration) {
+    fn note(&self, status: u16, body: String, took: Duration) {
+        if !matches!(status, 200 | 201) {
+            let mut reasons = self.reasons.lock().expect("no user panics");
+            *reasons.entry(format!("{status} {body}")).or_default() += 1;
+        }
         let mut statuses = self.statuses.lock().expect("no user panics");
         *statuses.entry(status).or_default() += 1;
         let mut latencies = self.latencies.lock().expect("no user panics");
@@ -100,8 +107,8 @@
         let began = Instant::now();
         let body = submission(&id, team);
         let answer = call(front, "POST", "/v1/jobs", &body, CALL);
-        let status = answer.map_or(0, |(status, _)| status);
-        told.note(status, began.elapsed());
+        let (status, said) = answer.unwrap_or_else(|e| (0, e.kind().to_string()));
+        told.note(status, said, began.elapsed());
         if status == 201 && rng.random_bool(plan.cancelled) {
             let path = format!("/v1/jobs/{id}/withdraw");
             // One that is not confirmed goes on, as a user's would who gives up.
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -133,6 +133,9 @@
         *self.view.borrow_mut() = fresh;
         self.loaded.set(true);
         self.view_was_current(began);
+        if self.quota.is_none() && self.view.borrow().has_quota_settings {
+            tracing::warn!("quotas are in force, but not enabled at this controller");
+        }
         self.after_view_change();
         self.resync();
         self.leader_moved.set();
--- a/src/node/quotas.rs
+++ b/src/node/quotas.rs
@@ -1,6 +1,6 @@
 //! Admission quotas at a controller: creations charged to its allotments, transfers, its presence in the store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -54,6 +54,8 @@
     /// Beats when a transfer has come to its end.
     transferred: Pulse,
     pace: Bucket,
+    /// Whether the quotas of this controller's file were ever in force.
+    were_in_force: Cell<bool>,
 }
 
 impl NodeQuota {
@@ -73,6 +75,7 @@
             work: Signal::default(),
             transferred: Pulse::default(),
             pace: Bucket::new(rate, rate),
+            were_in_force: Cell::new(false),
         })
     }
 }
@@ -102,14 +105,28 @@
         }
     }
 
-    /// Whether this controller and the store hold the same quotas, or none.
+    /// Whether this controller and the store hold the same quotas, or none. At the start they must be in force too:
+    /// before that no submission can be taken.
     pub(super) fn quota_agrees(&self) -> bool {
         let view = self.view.borrow();
         let Some(quota) = &self.quota else {
             return !view.has_quota_settings;
         };
+        let Some((record, _)) = view.quota.as_ref().and_then(|ledger| ledger.settings()) else {
+            return false;
+        };
+        let same = record.digest == quota.admissions.borrow().digest();
+        if same && record.open {
+            quota.were_in_force.set(true);
+        }
+        same && quota.were_in_force.get()
+    }
+
+    /// Whether quotas other than those of this controller's file are in force.
+    fn quota_differs(&self, quota: &NodeQuota) -> bool {
+        let view = self.view.borrow();
         let settings = view.quota.as_ref().and_then(|ledger| ledger.settings());
-        settings.is_some_and(|(record, _)| record.digest == quota.admissions.borrow().digest())
+        settings.is_some_and(|(record, _)| record.digest != quota.admissions.borrow().digest())
     }
 
     /// What this controller lacked lately, for the others.
@@ -193,7 +210,7 @@
         let Some(quota) = &self.quota else {
             return;
         };
-        let mut agreed = true;
+        let mut differed = false;
         loop {
             {
                 let work = std::pin::pin!(quota.work.wait());
@@ -201,11 +218,11 @@
             }
             quota.work.clear();
             self.take_requests(quota);
-            let agrees = !self.loaded.get() || self.quota_agrees();
-            if agreed && !agrees {
+            let differs = self.quota_differs(quota);
+            if differs && !differed {
                 tracing::warn!("the quotas in force are not those of this controller's file");
             }
-            agreed = agrees;
+            differed = differs;
             self.bring_wanted(quota).await;
             self.look_after(quota).await;
         }
