Tests: a former process beside the present one; a job that another controller just accepted

Need: the guards on an allotment's process and on known jobs could be taken out without a test failing.

Change: tests that meet just these.

--- a/crates/quota/tests/quotas/late_creations.rs
+++ b/crates/quota/tests/quotas/late_creations.rs
@@ -50,14 +50,23 @@
     let late = decided(&mut world, 0, "j-900", 0.5);
     world.restart(0);
     world.lead(1);
-    // The present process has admitted all that there is before the former one's creation arrives.
-    for _ in 0..20 {
-        world.submit(0, "red", of_cpus(0.5));
-        world.pass(0.5);
-        for at in [0, 1] {
-            world.follow(at, 1000);
+    // Before the former one's creation arrives, the present process admits as much as it may without a transfer.
+    for number in 0..20 {
+        let now = world.now;
+        let id = format!("j-{number}");
+        let (_, creation) = world.controllers[0].submit(&id, "red", of_cpus(0.5), now);
+        if let Some((txn, _)) = creation {
+            world.store.apply(&txn);
         }
     }
+    world.store.apply(&late);
+    check_history(&world.store, &world.settings, 1);
+    // Its first transfer takes the allotment over, and ends what the former one had under way.
+    world.admit_surely(0, "red", of_cpus(0.5), 10);
+    let late = Txn {
+        changes: vec![],
+        ..late
+    };
     assert_eq!(world.store.apply(&late), Outcome::Conflict);
     check_history(&world.store, &world.settings, 1);
 }
--- a/src/node/tests/quotas.rs
+++ b/src/node/tests/quotas.rs
@@ -204,6 +204,22 @@
     });
 }
 
+/// A controller whose view lags, and that has nothing left, still doesn't refuse what another one just accepted.
+#[test]
+fn a_job_that_another_controller_just_accepted_is_known() {
+    play(with_quotas, |w| async move {
+        begin(&w, 0).await;
+        in_force(&w).await;
+        for number in 0..20 {
+            let spec = of_team(&format!("j-{number}"), "blue", 1);
+            w.submit_surely(0, &spec).await;
+            let (status, _) = w.submit(1, &spec).await;
+            assert_eq!(status, 200, "{}", spec.id);
+        }
+        cancel_all(&w).await;
+    });
+}
+
 /// Answers are lost, processes end and are back at once, late copies arrive: every charge is counted.
 #[test]
 fn restarts_and_lost_answers_in_a_burst() {
