Test: 4,500 machines and 75,000 tasks across a change of leader

Need: no fixed limit below 4,000 machines; until now the largest fleet in the tests was a dozen.

Change: the leader's state machine with 4,500 workers: all tasks start within the write rate, each once, every value fits, and another leader that reads the store leaves all of them where they are.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod dependency_graphs;
 mod graph;
+mod large_fleet;
 pub(crate) mod production;
 mod random_faults;
 mod scenarios;
--- /dev/null
+++ b/src/tests/large_fleet.rs
@@ -0,0 +1,114 @@
+//! A fleet beyond 4,000 machines: no bound below that stands in the leader's way. Counts are judged, not times.
+
+use std::collections::BTreeMap;
+
+use crate::config::Config;
+use crate::leader::{AfterTxn, Leader};
+use crate::testing::{FakeStore, FakeWorker, job};
+use crate::view::key;
+use crate::wire::{Change, ReportTask};
+
+const MACHINES: usize = 4500;
+const JOBS: usize = 75;
+const TASKS_EACH: u32 = 1000;
+const TASKS: usize = JOBS * TASKS_EACH as usize;
+/// Report intervals in which everything must have started.
+const ROUNDS: usize = 60;
+
+fn config() -> Config {
+    let mut config = crate::config::tests::sample();
+    config.deployment.state.write_rps = 60.0;
+    config.deployment.limits.max_sockets = 8000;
+    config
+}
+
+fn workers() -> Vec<FakeWorker> {
+    let zone = |at: usize| ["north", "south"][at % 2];
+    (0..MACHINES)
+        .map(|at| FakeWorker::new(&format!("i-{at:06}"), "small", zone(at)))
+        .collect()
+}
+
+fn running(workers: &[FakeWorker]) -> usize {
+    workers.iter().map(|worker| worker.report.tasks.len()).sum()
+}
+
+/// One report interval: all report, the leader places and writes what its share of the writes allows.
+fn play_interval(store: &mut FakeStore, leader: &mut Leader, workers: &mut [FakeWorker], now: f64) {
+    leader.note_report(now);
+    for worker in workers.iter_mut() {
+        worker.checkin(leader, now);
+    }
+    leader.plan(now);
+    for step in 0..30 {
+        let at = now + f64::from(step) * 0.1;
+        while let Some(txn) = leader.next_txn(at) {
+            for change in &txn.changes {
+                if let Change::Put { key, value, .. } = change {
+                    let limit = (leader.config.deployment.state.value_kb * 1024.0) as usize;
+                    assert!(value.get().len() <= limit, "{key}: {}", value.get().len());
+                }
+            }
+            let outcome = store.apply(&txn);
+            assert_ne!(leader.txn_done(outcome, at), AfterTxn::Lost);
+        }
+    }
+}
+
+/// Where each task runs: it may be at one place only.
+fn places(workers: &[FakeWorker]) -> BTreeMap<&str, usize> {
+    let mut places = BTreeMap::new();
+    for (at, worker) in workers.iter().enumerate() {
+        for ReportTask { task, .. } in &worker.report.tasks {
+            assert_eq!(places.insert(task.as_str(), at), None, "{task} twice");
+        }
+    }
+    places
+}
+
+#[test]
+fn a_fleet_of_4500_machines_runs_75000_tasks_across_a_change_of_leader() {
+    let mut store = FakeStore::default();
+    let mut leader = store.elect_with(config(), "n0", 0.0);
+    let mut workers = workers();
+    for number in 0..JOBS {
+        let mut spec = job(&format!("j-{number}"), TASKS_EACH);
+        (spec.cpus, spec.memory_gb) = (0.4, 1.0);
+        spec.estimate_s = 3600.0;
+        store.submit(&spec);
+        let view = store.view();
+        leader.enter_job(&spec.id.as_str().into(), &view.jobs[spec.id.as_str()], 0.0);
+    }
+    let mut now = 0.0;
+    for _ in 0..ROUNDS {
+        if running(&workers) == TASKS {
+            break;
+        }
+        now += 3.0;
+        play_interval(&mut store, &mut leader, &mut workers, now);
+    }
+    assert_eq!(running(&workers), TASKS, "after {now} s");
+    let before: BTreeMap<String, usize> = places(&workers)
+        .into_iter()
+        .map(|(task, at)| (task.to_owned(), at))
+        .collect();
+    // Another leader knows from the store alone where all of them are, and leaves them there.
+    let log = key::run(0);
+    let prefix = log.trim_end_matches('0');
+    let values = store.keys.keys().filter(|key| key.starts_with(prefix));
+    assert!(values.count() > 0);
+    let mut leader = store.elect_with(config(), "n1", now);
+    let bound: u32 = leader.jobs.values().map(|job| job.bound).sum();
+    assert_eq!(bound as usize, TASKS);
+    for _ in 0..3 {
+        now += 3.0;
+        play_interval(&mut store, &mut leader, &mut workers, now);
+    }
+    assert_eq!(leader.fleet.machines.len(), MACHINES);
+    let after = places(&workers);
+    assert!(
+        before
+            .iter()
+            .all(|(task, at)| after.get(task.as_str()) == Some(at))
+    );
+}
