--- a/src/main.rs
+++ b/src/main.rs
@@ -47,8 +47,11 @@
         #[arg(long)]
         config: PathBuf,
         /// Features file (TOML).
-        #[arg(long)]
-        features: PathBuf,
+        #[arg(long, required_unless_present = "end")]
+        features: Option<PathBuf>,
+        /// End the quotas in force, once all controllers run without the feature.
+        #[arg(long, conflicts_with = "features")]
+        end: bool,
     },
 }
 
@@ -104,9 +107,17 @@
             println!("leader_life_s = {:.2}", config.leader_life_s());
             println!("off_after_s = {:.2}", config.off_after_s());
         }
-        Verb::Quota { config, features } => {
-            let config = load(&config, None, Some(&features))?;
-            print!("{}", capervale::quota_report::report(config)?);
+        Verb::Quota {
+            config,
+            features,
+            end,
+        } => {
+            let config = load(&config, None, features.as_deref())?;
+            if end {
+                println!("{}", capervale::quota_report::end(config)?);
+            } else {
+                print!("{}", capervale::quota_report::report(config)?);
+            }
         }
     }
     Ok(())
--- a/src/quota_report.rs
+++ b/src/quota_report.rs
@@ -1,15 +1,18 @@
-//! What operators see of quotas: limits, usage and allotments as stored.
+//! What operators see of quotas: limits, usage and allotments as stored; the end of quotas.
 
 use std::cell::RefCell;
 use std::fmt::Write;
 use std::rc::Rc;
 
-use quota::{AllotmentRecord, Ledger, QuotaSettings};
+use quota::{AccountId, AllotmentRecord, Ledger, QuotaSettings};
 
 use crate::config::Config;
+use crate::leader::TxnOutcome;
+use crate::quota_store::key_of;
 use crate::rt::{Rt, Scope};
 use crate::store::{Store, StoreError};
 use crate::view::{View, key};
+use crate::wire::{Change, Condition, Txn};
 
 /// Why there is no report.
 #[derive(Debug, thiserror::Error)]
@@ -32,20 +35,54 @@
         .quota
         .clone()
         .ok_or(ReportError::NotEnabled)?;
-    let read: Rc<RefCell<Option<Result<Ledger, StoreError>>>> = Rc::default();
-    let result = read.clone();
+    let ledger = with_store(config, |store| async move { read_ledger(&store).await })?;
+    Ok(text(&settings, &ledger))
+}
+
+/// Deletes the record of the settings in force: controllers without the feature are ready then. One that has it
+/// enabled and leads would put its settings in force again.
+pub fn end(config: Config) -> Result<String, ReportError> {
+    with_store(config, |store| async move { end_settings(&store).await })
+}
+
+async fn end_settings(store: &Store) -> Result<String, StoreError> {
+    let settings = key_of(&AccountId::Settings);
+    let Some(found) = store.get(&settings).await? else {
+        return Ok("no quotas are in force".into());
+    };
+    let txn = Txn {
+        conditions: vec![Condition {
+            key: settings.clone(),
+            version: found.version,
+        }],
+        changes: vec![Change::Delete { key: settings }],
+    };
+    Ok(match store.txn(&txn).await {
+        TxnOutcome::Applied(_) => "quotas are no longer in force".into(),
+        _ => "the settings have changed meanwhile, or the state service gave no answer: look again"
+            .into(),
+    })
+}
+
+/// Runs some work with a client of the state service.
+fn with_store<T: 'static, F: Future<Output = Result<T, StoreError>> + 'static>(
+    config: Config,
+    work: impl FnOnce(Store) -> F,
+) -> Result<T, ReportError> {
+    let outcome: Rc<RefCell<Option<Result<T, StoreError>>>> = Rc::default();
+    let told = outcome.clone();
     Rt::run::<calloop::Error>(move |rt| {
         let root = Scope::new(rt);
         let rt = rt.clone();
-        let store = Store::new(&rt, config.services.state, &config);
+        let work = work(Store::new(&rt, config.services.state, &config));
         root.spawn(async move {
-            *result.borrow_mut() = Some(read_ledger(&store).await);
+            *told.borrow_mut() = Some(work.await);
             rt.stop();
         });
         Ok(root)
     })?;
-    match read.take() {
-        Some(Ok(ledger)) => Ok(text(&settings, &ledger)),
+    match outcome.take() {
+        Some(Ok(value)) => Ok(value),
         Some(Err(e)) => Err(ReportError::Store(e.to_string())),
         None => Err(ReportError::Store("no answer".into())),
     }
--- a/tests/quota_under_load.rs
+++ b/tests/quota_under_load.rs
@@ -1,6 +1,7 @@
 //! Real controllers on loopback admit for one team at the same time, while one of them is killed and started again.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::time::Duration;
 
 use loadtest::controllers::{Controllers, Setup};
@@ -14,6 +15,18 @@
 /// Long enough for a machine that is busy with other things; it is not waited for.
 const READY: Duration = Duration::from_secs(120);
 
+/// What `capervale quota` prints.
+fn capervale(folder: &Path, arguments: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_capervale"))
+        .current_dir(folder)
+        .args(["quota", "--config", "n0.toml"])
+        .args(arguments)
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
 #[test]
 fn three_controllers_never_admit_more_than_the_limit() {
     let folder = tempfile::tempdir().unwrap();
@@ -45,6 +58,21 @@
     let usage = verdict::usage(&state.history());
     let most = verdict::most(&usage["team"]);
     assert!(most <= LIMIT_CPUS, "{most} CPUs of {LIMIT_CPUS}");
+    // What an operator sees of it.
+    let shown = capervale(folder.path(), &["--features", "features.toml"]);
+    let expected = [
+        "in force\n",
+        "team team: guaranteed cpus=10, limit cpus=40",
+        "allotment of n0: ",
+    ];
+    for expected in expected {
+        assert!(shown.contains(expected), "{shown}");
+    }
+    drop(controllers);
+    let ended = "quotas are no longer in force\n";
+    assert_eq!(capervale(folder.path(), &["--end"]), ended);
+    let none = "no quotas are in force\n";
+    assert_eq!(capervale(folder.path(), &["--end"]), none);
     assert!(
         told.count(201) > 0 && told.count(429) > 0,
         "{:?}",
