Test: production ignores the quota's field and frames

Need: records and frames with quotas enabled must stay readable to the version in production.

Result: a job with its charge, a heartbeat with shortages: read, and what production keeps is as before.

--- a/src/tests/stored_formats.rs
+++ b/src/tests/stored_formats.rs
@@ -173,10 +173,11 @@
         assert_eq!(production_keeps(&key::relay("n1"), &record), sample);
     }
     for sample in JOB {
-        for (at_ms, parts, waits_on) in [
-            (None, 0, Vec::new()),
-            (Some(UNIX_MS), 0, vec!["j-1".to_owned()]),
-            (Some(UNIX_MS), 3, Vec::new()),
+        for (at_ms, parts, waits_on, charged_to) in [
+            (None, 0, Vec::new(), None),
+            (Some(UNIX_MS), 0, vec!["j-1".to_owned()], None),
+            (Some(UNIX_MS), 0, vec!["j-1".to_owned()], Some("n1")),
+            (Some(UNIX_MS), 3, Vec::new(), None),
         ] {
             let spec: Submission = serde_json::from_str(sample).unwrap();
             let spec = Submission { waits_on, ..spec };
@@ -184,7 +185,7 @@
                 spec,
                 at_ms,
                 parts,
-                charged_to: None,
+                charged_to: charged_to.map(Into::into),
             };
             assert_eq!(production_keeps(&key::job("j-1"), &record), sample);
         }
@@ -235,7 +236,18 @@
         assert_eq!(read, frame);
         let mut written = Vec::new();
         ciborium::into_writer(&frame, &mut written).unwrap();
+        // What only newer versions tell is ignored.
+        let with_shortages = Heartbeat {
+            shortages: vec![("blue".into(), quota::Resources::of_job(1, 2.0, 0.0, 4.0))],
+            ..frame.clone()
+        };
+        let mut later = Vec::new();
+        ciborium::into_writer(&with_shortages, &mut later).unwrap();
+        let read: Heartbeat = ciborium::from_reader(later.as_slice()).unwrap();
+        assert_eq!(read, with_shortages);
+        let ignoring: production::Heartbeat = ciborium::from_reader(later.as_slice()).unwrap();
         let old: production::Heartbeat = ciborium::from_reader(written.as_slice()).unwrap();
+        assert_eq!(ignoring, old);
         let mut again = Vec::new();
         ciborium::into_writer(&old, &mut again).unwrap();
         assert_eq!(again, sample);
