--- a/crates/loadtest/src/lib.rs
+++ b/crates/loadtest/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod controllers;
 pub mod http;
 pub mod report;
+pub mod schemes;
 pub mod state_service;
 pub mod users;
 pub mod verdict;
--- a/crates/quota/src/admission.rs
+++ b/crates/quota/src/admission.rs
@@ -112,8 +112,8 @@
     teams: HashMap<Rc<str>, TeamState>,
     /// What other controllers lack, by team and controller.
     pub(crate) requests: BTreeMap<(Rc<str>, Rc<str>), Request>,
-    /// Until when unused units that are lent are wanted by others.
-    pub(crate) lent_wanted_until: Time,
+    /// Teams of which something lacks at some controller, and until when that counts.
+    lacking: BTreeMap<Rc<str>, Time>,
     /// The last team whose unused units were looked at.
     pub(crate) cursor: Option<Rc<str>>,
 }
@@ -147,7 +147,7 @@
             pending: HashMap::new(),
             teams: HashMap::new(),
             requests: BTreeMap::new(),
-            lent_wanted_until: f64::NEG_INFINITY,
+            lacking: BTreeMap::new(),
             cursor: None,
         }
     }
@@ -255,14 +255,15 @@
         charge: Resources,
         now: Time,
     ) -> Decision {
+        let missing = (charge - self.available(ledger, team))
+            .where_any(charge)
+            .positive();
         let state = self.teams.entry(team.clone()).or_default();
-        state.shortage = Some((charge, now));
-        self.lent_wanted_until = now + SHORTAGE_S;
+        state.shortage = Some((missing, now));
+        self.note_lacking(team, now);
         if transfer::take(ledger, self, team, charge, now).is_some() {
             return Decision::Short;
         }
-        let missing = charge - self.available(ledger, team);
-        let missing = missing.where_any(charge).positive();
         Decision::Refused {
             retry_after_s: ledger
                 .release_wait_s(team, missing, now)
@@ -376,6 +377,11 @@
         shortage.is_some_and(|(_, at)| now - at < SHORTAGE_S)
     }
 
+    /// When this controller last admitted a job of a team.
+    pub(crate) fn admitted_at(&self, team: &str) -> Option<Time> {
+        self.teams.get(team)?.admitted_at
+    }
+
     /// When this controller was last asked to admit a job of a team.
     pub(crate) fn asked_at(&self, team: &str) -> Option<Time> {
         let state = self.teams.get(team)?;
@@ -419,6 +425,24 @@
         self.teams.iter().filter_map(lately).collect()
     }
 
+    fn note_lacking(&mut self, team: &Rc<str>, now: Time) {
+        self.lacking.retain(|_, until| now < *until);
+        if self.lacking.len() < REQUESTS_MAX {
+            self.lacking.insert(team.clone(), now + SHORTAGE_S);
+        }
+    }
+
+    /// Whether something of a team lacks at some controller.
+    pub(crate) fn is_lacking(&self, team: &str, now: Time) -> bool {
+        self.lacking.get(team).is_some_and(|until| now < *until)
+    }
+
+    /// Whether something of another team lacks: then it may borrow what this one doesn't use.
+    pub(crate) fn is_another_lacking(&self, team: &str, now: Time) -> bool {
+        let mut others = self.lacking.iter().filter(|(name, _)| &***name != team);
+        others.any(|(_, until)| now < *until)
+    }
+
     /// Another controller lacks so much.
     pub fn on_request(&mut self, node: &Rc<str>, team: &Rc<str>, amount: Resources, now: Time) {
         self.requests
@@ -426,7 +450,7 @@
         if self.requests.len() < REQUESTS_MAX && *node != self.node {
             let request = Request { amount, at: now };
             self.requests.insert((team.clone(), node.clone()), request);
-            self.lent_wanted_until = now + SHORTAGE_S;
+            self.note_lacking(team, now);
         }
     }
 }
--- a/crates/quota/src/transfer.rs
+++ b/crates/quota/src/transfer.rs
@@ -12,6 +12,8 @@
 
 /// An allotment of which nothing was asked for so long gives back what is unused.
 const IDLE_S: f64 = 60.0;
+/// A controller that admitted nothing of a team for so long doesn't use the rest of its allotment by itself.
+const STUCK_S: f64 = 3.0;
 /// Allotments looked at in one call.
 const LOOKED_AT_MAX: usize = 32;
 /// Of what is lent a controller takes, beyond what it lacks, a part of the rest: one in so many, divided by the
@@ -218,8 +220,12 @@
         if other.incarnation == AllotmentRecord::NOBODY || admissions.has_outgoing(&team) {
             continue;
         }
-        // Of two that lack the same, one keeps what it has: else they would hand it to and fro.
-        if admissions.lacks(&team, now) && *admissions.node() < node {
+        // One that lacks the same keeps what it has, as smaller jobs still fit into that. If nothing did for a
+        // while, of two one hands over, by name: else they would do so to and fro.
+        let is_stuck = admissions
+            .admitted_at(&team)
+            .is_none_or(|at| now - at > STUCK_S);
+        if admissions.lacks(&team, now) && !(is_stuck && *admissions.node() > node) {
             continue;
         }
         let unused = admissions.available(ledger, &team).positive();
@@ -300,7 +306,8 @@
     let unused = admissions.available(ledger, team).positive();
     let idle = admissions.asked_at(team).is_none_or(|at| now - at > IDLE_S);
     let lent = (draft.record.held - settings.team(team).guaranteed).positive();
-    let wanted = now < admissions.lent_wanted_until && !admissions.lacks(team, now);
+    let lent_wanted = admissions.is_another_lacking(team, now) && !admissions.lacks(team, now);
+    let wanted = lent_wanted || admissions.is_lacking(team, now);
     let is_former = own.incarnation != admissions.incarnation() && !own.size.is_zero();
     if (idle || wanted) && (is_former || admissions.has_doubts(team, now)) {
         // The new revision ends what a former process, or this one, may have under way.
@@ -314,7 +321,7 @@
     }
     let amount = if idle || admissions.is_overdrawn(ledger, team, &draft.record) {
         unused
-    } else if wanted {
+    } else if lent_wanted {
         unused.min(lent)
     } else {
         Resources::ZERO
--- a/src/node/tests/quotas.rs
+++ b/src/node/tests/quotas.rs
@@ -383,6 +383,34 @@
     });
 }
 
+/// Red may run 40 CPUs at a time, and has more accepted than that. Leaders change in the middle of bursts: what workers
+/// run is judged at each start, and everything accepted comes to its end.
+#[test]
+fn the_running_limit_holds_while_leaders_change_in_a_burst() {
+    play(with_quotas, |w| async move {
+        begin(&w, 8).await;
+        in_force(&w).await;
+        for round in 0..4_u32 {
+            burst(&w, round * 100, 24, "red").await;
+            w.run(2.0).await;
+            if let Some(leader) = w.leader() {
+                w.kill(leader);
+                burst(&w, round * 100 + 50, 12, "red").await;
+                w.run(1.0).await;
+                w.start(leader);
+            }
+            w.run(12.0).await;
+        }
+        in_force(&w).await;
+        assert!(
+            w.checks.starts.get() > 20,
+            "{} starts",
+            w.checks.starts.get()
+        );
+        w.see_the_end(600.0).await;
+    });
+}
+
 /// With the feature off nothing is stored of it.
 #[test]
 fn without_the_feature_no_key_or_field_of_it_is_written() {
