Load tool: users who are refused wait before they go on

Need: without that a burst lasted a tenth of a second, and a controller that was killed was never back in it.

--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -38,6 +38,9 @@
     /// Accepted jobs that are cancelled at once.
     #[arg(long, default_value_t = 0.5)]
     cancelled: f64,
+    /// Milliseconds that a user waits who was refused.
+    #[arg(long, default_value_t = 50)]
+    pause_ms: u64,
     /// A controller is killed and started again after so many submissions; 0: none is.
     #[arg(long, default_value_t = 0)]
     restart_every: u64,
@@ -70,6 +73,7 @@
         users: args.users,
         jobs: args.jobs,
         cancelled: args.cancelled,
+        pause: Duration::from_millis(args.pause_ms),
         first_id: 1,
     };
     let mut restarts = 0;
--- a/crates/loadtest/src/users.rs
+++ b/crates/loadtest/src/users.rs
@@ -27,6 +27,8 @@
     pub jobs: u64,
     /// Probability that an accepted job is cancelled right after.
     pub cancelled: f64,
+    /// How long a user waits who was refused.
+    pub pause: Duration,
     /// The first id.
     pub first_id: u64,
 }
@@ -109,6 +111,9 @@
         let answer = call(front, "POST", "/v1/jobs", &body, CALL);
         let (status, said) = answer.unwrap_or_else(|e| (0, e.kind().to_string()));
         told.note(status, said, began.elapsed());
+        if !matches!(status, 200 | 201) {
+            std::thread::sleep(plan.pause);
+        }
         if status == 201 && rng.random_bool(plan.cancelled) {
             let path = format!("/v1/jobs/{id}/withdraw");
             // One that is not confirmed goes on, as a user's would who gives up.
--- a/tests/quota_under_load.rs
+++ b/tests/quota_under_load.rs
@@ -46,6 +46,7 @@
         users: 12,
         jobs: 300,
         cancelled: 0.3,
+        pause: Duration::ZERO,
         first_id: 1,
     };
     let mut restarted = false;
