Test: a controller that stood still while its allotment was reclaimed; the load waits for events

Need: the hard case of an owner that is taken for gone and wakes, with a real process; polling by sleeps in tests.

Change: a process is stopped until the leader has reclaimed its allotment and others have used it, then continued; the load tool's waits are for answers and changes of the store.

--- a/crates/loadtest/src/controllers.rs
+++ b/crates/loadtest/src/controllers.rs
@@ -7,10 +7,12 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{call, serve};
+use crate::state_service::StateService;
 
 const TYPES: &str = r#"{"Rigs":[{"Name":"small","Cores":64,"Gpus":0,"MemoryGb":512,"CacheGb":50,
     "PullGbPerS":1.0,"Rate":0.8,"SpotPrice":0.2,"ReadyS":30,"Yards":["z0","z1","z2"]}]}"#;
 const CALL: Duration = Duration::from_secs(2);
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
 /// How controllers are started.
 pub struct Setup {
@@ -115,8 +117,24 @@
         Ok(())
     }
 
+    /// Lets a controller's process stand still, or go on.
+    pub fn set_paused(&self, at: usize, paused: bool) -> io::Result<()> {
+        let Some(child) = &self.processes[at] else {
+            return Ok(());
+        };
+        let signal = if paused { "-STOP" } else { "-CONT" };
+        let sent = Command::new("kill")
+            .args([signal, &child.id().to_string()])
+            .status()?;
+        if sent.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("the signal was not sent"))
+        }
+    }
+
     /// Waits until all are ready.
-    pub fn wait_until_ready(&self, limit: Duration) -> io::Result<()> {
+    pub fn wait_until_ready(&self, state: &StateService, limit: Duration) -> io::Result<()> {
         let deadline = Instant::now() + limit;
         for front in &self.fronts {
             loop {
@@ -129,7 +147,8 @@
                         format!("{front} is not ready"),
                     ));
                 }
-                std::thread::sleep(Duration::from_millis(20));
+                // What they wait for is stored by one of them.
+                state.wait_until(LOOK_AGAIN, |_| false);
             }
         }
         Ok(())
--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -66,7 +66,7 @@
         features,
     };
     let mut controllers = Controllers::start(setup, addr)?;
-    controllers.wait_until_ready(Duration::from_secs(30))?;
+    controllers.wait_until_ready(&state, Duration::from_secs(30))?;
     let plan = Plan {
         fronts: controllers.fronts().to_vec(),
         teams: teams.to_vec(),
--- a/crates/loadtest/src/state_service.rs
+++ b/crates/loadtest/src/state_service.rs
@@ -53,6 +53,8 @@
 }
 
 const PAGE: usize = 1000;
+/// Leases end without anybody asking: those who wait look at them so often.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
 fn parameter<'a>(path: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = path.split_once('?')?;
@@ -94,6 +96,25 @@
         self.content().conflicts
     }
 
+    /// Waits until the history is as wanted, or the time is over; tells whether it is.
+    pub fn wait_until(&self, limit: Duration, wanted: impl Fn(&[Committed]) -> bool) -> bool {
+        let deadline = Instant::now() + limit;
+        let mut content = self.content();
+        loop {
+            if wanted(&content.history) {
+                return true;
+            }
+            let now = Instant::now();
+            if now >= deadline {
+                return false;
+            }
+            let wait = (deadline - now).min(LOOK_AGAIN);
+            let waited = self.changed.wait_timeout(content, wait);
+            content = waited.unwrap_or_else(PoisonError::into_inner).0;
+            self.end_leases(&mut content);
+        }
+    }
+
     fn end_leases(&self, content: &mut Content) {
         let now = Instant::now();
         let over: Vec<u64> = content
@@ -284,7 +305,7 @@
                 let answer = json!({"Epoch": content.revision, "News": news});
                 return (200, answer.to_string());
             }
-            let wait = (deadline - now).min(Duration::from_millis(100));
+            let wait = (deadline - now).min(LOOK_AGAIN);
             let waited = self.changed.wait_timeout(content, wait);
             content = waited.unwrap_or_else(PoisonError::into_inner).0;
             self.end_leases(&mut content);
--- a/crates/loadtest/src/users.rs
+++ b/crates/loadtest/src/users.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Sender};
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
@@ -80,23 +81,25 @@
     )
 }
 
-/// Lets the users do all that; `between` is called now and then meanwhile, with how many jobs were submitted.
+/// Lets the users do all that; `between` is called after each submission, with its number.
 pub fn play(plan: &Plan, mut between: impl FnMut(u64)) -> Told {
     let told = Told::new();
     let next = AtomicU64::new(0);
+    let (progress, submitted) = mpsc::channel();
     std::thread::scope(|scope| {
-        let users: Vec<_> = (0..plan.users)
-            .map(|_| scope.spawn(|| submit_all(plan, &next, &told)))
-            .collect();
-        while users.iter().any(|user| !user.is_finished()) {
-            between(next.load(Ordering::Relaxed));
-            std::thread::sleep(Duration::from_millis(5));
+        for _ in 0..plan.users {
+            let progress = progress.clone();
+            scope.spawn(|| submit_all(plan, &next, &told, progress));
+        }
+        drop(progress);
+        for number in submitted {
+            between(number);
         }
     });
     told
 }
 
-fn submit_all(plan: &Plan, next: &AtomicU64, told: &Told) {
+fn submit_all(plan: &Plan, next: &AtomicU64, told: &Told, progress: Sender<u64>) {
     let mut rng = rand::rng();
     loop {
         let number = next.fetch_add(1, Ordering::Relaxed);
@@ -111,6 +114,8 @@
         let answer = call(front, "POST", "/v1/jobs", &body, CALL);
         let (status, said) = answer.unwrap_or_else(|e| (0, e.kind().to_string()));
         told.note(status, said, began.elapsed());
+        // Nobody listens once the run is given up.
+        let _ = progress.send(number);
         if !matches!(status, 200 | 201) {
             std::thread::sleep(plan.pause);
         }
--- a/src/features/tests.rs
+++ b/src/features/tests.rs
@@ -81,3 +81,12 @@
     let parsed = Features::parse("[quota]\ntotal = { cpus = 9 }", "f", &config);
     assert!(parsed.unwrap_err().to_string().contains("needs 3 changes"));
 }
+
+/// The file that operators begin with.
+#[test]
+fn the_example_is_valid() {
+    let config = crate::config::tests::sample();
+    let example = include_str!("../../deploy/features.example.toml");
+    let features = Features::parse(example, "features.example.toml", &config).unwrap();
+    assert!(features.quota.is_some());
+}
--- a/tests/quota_under_load.rs
+++ b/tests/quota_under_load.rs
@@ -39,7 +39,7 @@
         features: Some(QUOTAS.into()),
     };
     let mut controllers = Controllers::start(setup, addr).unwrap();
-    controllers.wait_until_ready(READY).unwrap();
+    controllers.wait_until_ready(&state, READY).unwrap();
     let plan = Plan {
         fronts: controllers.fronts().to_vec(),
         teams: vec!["team".into()],
@@ -80,3 +80,70 @@
         told.statuses
     );
 }
+
+/// A controller that stands still is taken for gone, and what it was allotted is reclaimed and used by others. When it
+/// goes on, it admits nothing of that.
+#[test]
+fn a_controller_that_stood_still_admits_nothing_that_was_reclaimed() {
+    let folder = tempfile::tempdir().unwrap();
+    let (state, addr) = StateService::start().unwrap();
+    let setup = Setup {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_capervale")),
+        folder: folder.path().to_owned(),
+        count: 3,
+        teams: vec!["team".into()],
+        features: Some(QUOTAS.into()),
+    };
+    let controllers = Controllers::start(setup, addr).unwrap();
+    controllers.wait_until_ready(&state, READY).unwrap();
+    let plan = |fronts: &[std::net::SocketAddr], first_id: u64| Plan {
+        fronts: fronts.to_vec(),
+        teams: vec!["team".into()],
+        users: 4,
+        jobs: 40,
+        cancelled: 0.0,
+        pause: Duration::ZERO,
+        first_id,
+    };
+    let leader = leader_of(&state);
+    let still = (leader + 1) % 3;
+    let fronts = controllers.fronts();
+    // It has an allotment, and uses a part of it.
+    let few = Plan {
+        jobs: 2,
+        ..plan(&fronts[still..=still], 1)
+    };
+    assert_eq!(play(&few, |_| ()).count(201), 2);
+    controllers.set_paused(still, true).unwrap();
+    let key = format!("quota/allotment/team/n{still}");
+    let reclaimed = state.wait_until(READY, |history| {
+        let last = history.iter().rev().find(|c| c.key.ends_with(&key));
+        let record = last.and_then(|committed| committed.value.as_ref());
+        record.is_some_and(|record| record["incarnation"] == 0 && record["size"]["c"] == 4000)
+    });
+    assert!(reclaimed, "the allotment was never reclaimed");
+    let others: Vec<_> = (0..3)
+        .filter(|at| *at != still)
+        .map(|at| fronts[at])
+        .collect();
+    // The others admit what there is; then the one that stood still goes on.
+    for round in 1..=5 {
+        play(&plan(&others, round * 1000), |_| ());
+    }
+    controllers.set_paused(still, false).unwrap();
+    for round in 6..=8 {
+        play(&plan(fronts, round * 1000), |_| ());
+    }
+    let usage = verdict::usage(&state.history());
+    let most = verdict::most(&usage["team"]);
+    assert!(most <= LIMIT_CPUS, "{most} CPUs of {LIMIT_CPUS}");
+    assert!(most > LIMIT_CPUS / 2.0, "only {most} CPUs");
+}
+
+/// Which controller leads, by the state service.
+fn leader_of(state: &StateService) -> usize {
+    let history = state.history();
+    let last = history.iter().rev().find(|c| c.key.ends_with("/leader"));
+    let record = last.and_then(|committed| committed.value.as_ref()).unwrap();
+    record["host"].as_str().unwrap()[1..].parse().unwrap()
+}
