Quotas: change of settings amid a first take; accounts of changes once; check prints quotas

Change: a test that meets a team's first record unseen by the leader: with one step 17 of 12 CPUs are given out.

--- a/crates/loadtest/src/schemes.rs
+++ b/crates/loadtest/src/schemes.rs
@@ -6,8 +6,8 @@
 
 use quota::supervise::Supervisor;
 use quota::{
-    AccountChange, AccountId, Admissions, Attempt, AttemptOutcome, Decision, Ledger, Plan,
-    QuotaSettings, Resources, transfer,
+    AccountId, Admissions, Attempt, AttemptOutcome, Decision, Ledger, Plan, QuotaSettings,
+    Resources, transfer,
 };
 
 /// A job that is submitted: where, how large, and how many rounds it lasts.
@@ -150,19 +150,6 @@
     writes: u32,
 }
 
-fn account_of(change: &AccountChange) -> AccountId {
-    match change {
-        AccountChange::Settings(_) => AccountId::Settings,
-        AccountChange::Shared(_) => AccountId::Shared,
-        AccountChange::Team(team, _) => AccountId::Team(team.clone()),
-        AccountChange::Owner(node, _) => AccountId::Owner(node.clone()),
-        AccountChange::Allotment { team, node, .. } => AccountId::Allotment {
-            team: team.clone(),
-            node: node.clone(),
-        },
-    }
-}
-
 impl Escrow {
     fn new(settings: &Rc<QuotaSettings>, controllers: usize) -> Self {
         let controller = |at: usize| Controller {
@@ -196,7 +183,7 @@
         self.revision += 1;
         for change in &plan.changes {
             self.writes += 1;
-            self.revisions.insert(account_of(change), self.revision);
+            self.revisions.insert(change.account(), self.revision);
             self.ledger.apply(change.clone(), self.revision);
         }
         self.ledger.reached(self.revision);
--- a/crates/quota/src/records.rs
+++ b/crates/quota/src/records.rs
@@ -102,6 +102,22 @@
     Owner(Rc<str>, Option<OwnerRecord>),
 }
 
+impl AccountChange {
+    /// The place of the record that is changed.
+    pub fn account(&self) -> AccountId {
+        match self {
+            AccountChange::Settings(_) => AccountId::Settings,
+            AccountChange::Shared(_) => AccountId::Shared,
+            AccountChange::Team(team, _) => AccountId::Team(team.clone()),
+            AccountChange::Owner(node, _) => AccountId::Owner(node.clone()),
+            AccountChange::Allotment { team, node, .. } => AccountId::Allotment {
+                team: team.clone(),
+                node: node.clone(),
+            },
+        }
+    }
+}
+
 /// A transaction: the revisions that must be as they were (0: absent), and what is written then.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Plan {
--- a/crates/quota/tests/quotas/late_creations.rs
+++ b/crates/quota/tests/quotas/late_creations.rs
@@ -150,3 +150,24 @@
     assert!(admitted[0] != admitted[1], "{admitted:?}");
     check_history(&world.store, &world.settings, 1);
 }
+
+/// A team's first record is stored, which the leader that puts other settings in force doesn't see yet.
+#[test]
+fn settings_change_while_a_team_takes_its_guarantee_for_the_first_time() {
+    let mut world = World::new(1, 2, settings(QUOTAS));
+    let taken = world.controllers[1].take("red", of_cpus(1.0), 0.0);
+    let (first, _) = taken.unwrap();
+    let lower = settings(LOWER);
+    world.settings = lower.clone();
+    world.restart(0);
+    world.lead(0);
+    assert_eq!(world.store.apply(&first), Outcome::Applied);
+    for _ in 0..4 {
+        world.keep_house(0);
+        world.pass(1.0);
+        world.follow(0, 1000);
+    }
+    let (record, _) = world.controllers[0].ledger.settings().unwrap();
+    assert!(record.open && record.digest == lower.digest());
+    world.totals().check_units(&lower);
+}
--- a/crates/quota/tests/quotas/support/store.rs
+++ b/crates/quota/tests/quotas/support/store.rs
@@ -33,16 +33,7 @@
 impl Change {
     pub fn key(&self) -> Key {
         match self {
-            Change::Account(change) => Key::Account(match change {
-                AccountChange::Settings(_) => AccountId::Settings,
-                AccountChange::Shared(_) => AccountId::Shared,
-                AccountChange::Team(name, _) => AccountId::Team(name.clone()),
-                AccountChange::Owner(name, _) => AccountId::Owner(name.clone()),
-                AccountChange::Allotment { team, node, .. } => AccountId::Allotment {
-                    team: team.clone(),
-                    node: node.clone(),
-                },
-            }),
+            Change::Account(change) => Key::Account(change.account()),
             Change::Job(id, _) => Key::Job(id.clone()),
             Change::End(id, _) => Key::End(id.clone()),
             Change::Leader(_) => Key::Leader,
--- a/src/main.rs
+++ b/src/main.rs
@@ -106,6 +106,13 @@
             println!("{config:#?}");
             println!("leader_life_s = {:.2}", config.leader_life_s());
             println!("off_after_s = {:.2}", config.off_after_s());
+            if let Some(quota) = &config.features.quota {
+                println!("quota.total: {}", quota.total());
+                for (name, team) in quota.teams() {
+                    let (guaranteed, limit) = (team.guaranteed, team.limit);
+                    println!("quota.teams.{name}: guaranteed {guaranteed}, limit {limit}");
+                }
+            }
         }
         Verb::Quota {
             config,
--- a/src/quota_store.rs
+++ b/src/quota_store.rs
@@ -76,24 +76,17 @@
 
 /// Writes or deletes an account.
 fn change_to(change: &AccountChange) -> Option<wire::Change> {
+    let key = key_of(&change.account());
     match change {
-        AccountChange::Settings(record) => put_or_delete(&AccountId::Settings, record.as_ref()),
-        AccountChange::Shared(record) => put_or_delete(&AccountId::Shared, record.as_ref()),
-        AccountChange::Team(team, record) => {
-            put_or_delete(&AccountId::Team(team.clone()), record.as_ref())
-        }
-        AccountChange::Owner(node, record) => {
-            put_or_delete(&AccountId::Owner(node.clone()), record.as_ref())
-        }
-        AccountChange::Allotment { team, node, record } => {
-            let (team, node) = (team.clone(), node.clone());
-            put_or_delete(&AccountId::Allotment { team, node }, record.as_ref())
-        }
+        AccountChange::Settings(record) => put_or_delete(key, record.as_ref()),
+        AccountChange::Shared(record) => put_or_delete(key, record.as_ref()),
+        AccountChange::Team(_, record) => put_or_delete(key, record.as_ref()),
+        AccountChange::Owner(_, record) => put_or_delete(key, record.as_ref()),
+        AccountChange::Allotment { record, .. } => put_or_delete(key, record.as_ref()),
     }
 }
 
-fn put_or_delete(account: &AccountId, record: Option<&impl Serialize>) -> Option<wire::Change> {
-    let key = key_of(account);
+fn put_or_delete(key: String, record: Option<&impl Serialize>) -> Option<wire::Change> {
     Some(match record {
         None => wire::Change::Delete { key },
         Some(record) => wire::Change::Put {
--- a/tests/quota_under_load.rs
+++ b/tests/quota_under_load.rs
@@ -15,6 +15,17 @@
 /// Long enough for a machine that is busy with other things; it is not waited for.
 const READY: Duration = Duration::from_secs(120);
 
+/// Three controllers with quotas for one team.
+fn setup(folder: &Path) -> Setup {
+    Setup {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_capervale")),
+        folder: folder.to_owned(),
+        count: 3,
+        teams: vec!["team".into()],
+        features: Some(QUOTAS.into()),
+    }
+}
+
 /// What `capervale quota` prints.
 fn capervale(folder: &Path, arguments: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_capervale"))
@@ -31,14 +42,7 @@
 fn three_controllers_never_admit_more_than_the_limit() {
     let folder = tempfile::tempdir().unwrap();
     let (state, addr) = StateService::start().unwrap();
-    let setup = Setup {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_capervale")),
-        folder: folder.path().to_owned(),
-        count: 3,
-        teams: vec!["team".into()],
-        features: Some(QUOTAS.into()),
-    };
-    let mut controllers = Controllers::start(setup, addr).unwrap();
+    let mut controllers = Controllers::start(setup(folder.path()), addr).unwrap();
     controllers.wait_until_ready(&state, READY).unwrap();
     let plan = Plan {
         fronts: controllers.fronts().to_vec(),
@@ -87,14 +91,7 @@
 fn a_controller_that_stood_still_admits_nothing_that_was_reclaimed() {
     let folder = tempfile::tempdir().unwrap();
     let (state, addr) = StateService::start().unwrap();
-    let setup = Setup {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_capervale")),
-        folder: folder.path().to_owned(),
-        count: 3,
-        teams: vec!["team".into()],
-        features: Some(QUOTAS.into()),
-    };
-    let controllers = Controllers::start(setup, addr).unwrap();
+    let controllers = Controllers::start(setup(folder.path()), addr).unwrap();
     controllers.wait_until_ready(&state, READY).unwrap();
     let plan = |fronts: &[std::net::SocketAddr], first_id: u64| Plan {
         fronts: fronts.to_vec(),
