--- a/crates/loadtest/src/lib.rs
+++ b/crates/loadtest/src/lib.rs
@@ -1,7 +1,7 @@
 //! Real controllers on loopback under load: thousands of submissions at once, processes killed and started again,
 //! against stand-ins of the state service and the cloud. What was stored is judged afterwards by its history.
 
-#![warn(missing_docs)]
+#![warn(missing_docs, clippy::too_many_lines)]
 
 pub mod controllers;
 pub mod http;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`Admissions`] decides at one controller, and counts what may yet be applied;
 //! - [`Plan`] is a transaction that moves units between accounts, made by [`transfer`] and [`supervise`].
 
-#![warn(missing_docs)]
+#![warn(missing_docs, clippy::too_many_lines)]
 
 mod admission;
 mod ledger;
