Load tool: each controller listens at a loopback address of its own

Cause (not seen to fail): at 127.0.0.1 a port that was found free may be taken by an outgoing connection before the controller listens there, or while it is restarted.

--- a/crates/loadtest/src/controllers.rs
+++ b/crates/loadtest/src/controllers.rs
@@ -1,9 +1,10 @@
 //! Controllers as real processes.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::{call, serve};
@@ -11,6 +12,8 @@
 
 const TYPES: &str = r#"{"Rigs":[{"Name":"small","Cores":64,"Gpus":0,"MemoryGb":512,"CacheGb":50,
     "PullGbPerS":1.0,"Rate":0.8,"SpotPrice":0.2,"ReadyS":30,"Yards":["z0","z1","z2"]}]}"#;
+/// Processes whose addresses differ.
+const PROCESSES: u32 = 250;
 const CALL: Duration = Duration::from_secs(2);
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -35,8 +38,17 @@
     processes: Vec<Option<Child>>,
 }
 
+/// Loopback addresses given out by this process.
+static ADDRESSES: AtomicU16 = AtomicU16::new(0);
+
+/// A free port of a loopback address that nobody else uses. At 127.0.0.1 a connection to somewhere else could take the
+/// port between its being found and its being listened at.
 fn free_addr() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let [high, low] = number.to_be_bytes();
+    let process = (std::process::id() % PROCESSES) as u8;
+    let ip = Ipv4Addr::new(127, 1 + process, high, 1 + low % u8::MAX);
+    TcpListener::bind((ip, 0))?.local_addr()
 }
 
 /// A cloud that knows one machine type and never has one: jobs wait until they are cancelled.
