--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -536,7 +536,7 @@
                     self.cloud.starts.append((self.cloud.record.now(), key[0], key[1], self.uid))
                     self.cloud.record.line(f"worker {self.uid}: {key[0]}.{key[1]} runs")
                     self.changed.set()
-                elif t["Status"] == "running" and now - t["since"] >= self.run_s(t["job"]):
+                elif t["Status"] == "running" and now - t["since"] >= self.cloud.run_s(t["job"]):
                     self.exit(key, "done")
 
 
