--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -16,7 +16,7 @@
 import time
 import tomllib
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.realpath(__file__)), "..", ".."))
 
 
 class Record:
@@ -315,6 +315,8 @@
         self.names = []  # names of the controllers
         self.calls = []  # (time, who, path, body, status)
         self.on_answer = None
+        self.fails = lambda job: False  # whether the tasks of a job end with `error` on every machine
+        self.on_delete = None  # called with (uid, names of the tasks that run) for a machine that is deleted
         self.starts = []  # (time, task, attempt, machine)
 
     async def start(self, who):
@@ -347,6 +349,9 @@
             for uid in json.loads(body)["Hosts"]:
                 worker = self.machines.get(uid)
                 if worker and not worker.gone_at:
+                    running = [task for (task, _), t in worker.tasks.items() if t["Status"] == "running"]
+                    if running and self.on_delete:
+                        self.on_delete(uid, running)
                     worker.remove()
                     pool = (worker.rig["Name"], worker.yard, worker.loaner)
                     self.capacity[pool] = self.capacity.get(pool, 0) + 1
@@ -537,7 +542,7 @@
                     self.cloud.record.line(f"worker {self.uid}: {key[0]}.{key[1]} runs")
                     self.changed.set()
                 elif t["Status"] == "running" and now - t["since"] >= self.cloud.run_s(t["job"]):
-                    self.exit(key, "done")
+                    self.exit(key, "error" if self.cloud.fails(t["job"]) else "done")
 
 
 # --------------------------------------------------------------------------------------------------------- controllers
