--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -269,7 +269,7 @@
             value, stamp, _ = self.keys[key]
             pair = {"K": key, "V": value, "Stamp": stamp}
             size += len(json.dumps(pair, separators=(",", ":"))) + 1
-            if len(pairs) == limit or (size > 500 * 1024 and pairs):
+            if len(pairs) == limit or (size > 512 * 1024 - 64 and pairs):
                 truncated = True
                 break
             pairs.append(pair)
