Log each load of the replica and each deletion of a dependency part, with its reason

Nothing in the log told by which of the possible ways: H1 a load reads the part's page after, and the job's page before, the job's creation, and the part counts as a part of a deleted job from then on: parts_without_job > 0 when the replica is loaded, and the deletion says 'no job record' although the job is known by then (job_known=true); H2 the leader takes the job for finished: the deletion says 'job finished'; H3 a watch delivers the part before its job: parts_without_job = 0 when loaded, the deletion says 'no job record'; H4 the part is deleted by a late or repeated transaction: no line at all at the controller that the store names; H5 the part was never stored: the store reports no deletion. Change: info lines 'replica loaded' (revision of the first page, last_revision, pages, jobs, parts_without_job) and 'deleting dependency part' (key, reason, job_known).

--- a/src/controller/replication.rs
+++ b/src/controller/replication.rs
@@ -83,9 +83,11 @@
         let mut after_key = String::new();
         let mut first_revision = None;
         let mut last_revision;
+        let mut pages = 0;
         let load_started_at = self.now();
         loop {
             let page = self.store.list(keys::ROOT, &after_key).await?;
+            pages += 1;
             self.replication.record_store_contact(self.now());
             first_revision.get_or_insert(page.revision);
             last_revision = page.revision;
@@ -108,6 +110,16 @@
         let known_machine_types = self.replication.replica.borrow().machine_types.clone();
         new_replica.machine_types = new_replica.machine_types.or(known_machine_types);
         new_replica.finish_load(self.now(), self.runtime.unix_ms());
+        let jobs = new_replica.jobs.len();
+        let parts_without_job = new_replica.orphaned_dependency_keys.len();
+        tracing::info!(
+            revision = new_replica.revision,
+            last_revision,
+            pages,
+            jobs,
+            parts_without_job,
+            "replica loaded"
+        );
         *self.replication.replica.borrow_mut() = new_replica;
         self.replication.is_loaded.set(true);
         self.replication.record_current_at(load_started_at);
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -98,6 +98,10 @@
         forecast: Rc<RefCell<ArrivalForecast>>,
         now: Time,
     ) -> Self {
+        for key in &replica.orphaned_dependency_keys {
+            let job_known = replica.job_of_dependency_part(key).is_some();
+            tracing::info!(%key, job_known, reason = "no job record", "deleting dependency part");
+        }
         let mut leader = Leader {
             fencing_token,
             term_started_at: now,
--- a/src/leader/transaction_outcomes.rs
+++ b/src/leader/transaction_outcomes.rs
@@ -199,6 +199,7 @@
         if let Some(job) = self.jobs.remove(&index) {
             for part in 1..=job.dependency_parts {
                 let key = keys::dependency_part(&job.id, part);
+                tracing::info!(%key, reason = "job finished", "deleting dependency part");
                 self.fleet.zones.queue_obsolete_key(key);
             }
         }
--- a/src/store/replica/dependencies.rs
+++ b/src/store/replica/dependencies.rs
@@ -7,6 +7,7 @@
 use super::{ReplicatedJob, StateReplica};
 use crate::jobs::dependency_graph::{JobOutcome, ReadinessChanges};
 use crate::runtime::Time;
+use crate::store::keys::StoredKey;
 use crate::store::records::decode;
 
 impl StateReplica {
@@ -33,6 +34,16 @@
         self.add_dependencies(&id.into());
     }
 
+    /// The job of a dependency part's key, if its record is in the replica.
+    pub fn job_of_dependency_part(&self, key: &str) -> Option<&ReplicatedJob> {
+        match StoredKey::parse(key)? {
+            StoredKey::DependencyPart { job } => {
+                self.jobs.get(job).filter(|job| job.spec.is_some())
+            }
+            _ => None,
+        }
+    }
+
     /// Adds a blocked job to the dependency graph. Does nothing before the replica is loaded and all parts of the job's
     /// dependencies have been applied, or if the job has ended.
     pub(super) fn add_dependencies(&mut self, id: &Rc<str>) {
