Keep the dependencies of a job that is created while a controller loads the store

Cause: a load reads the store page by page. A job created after the page with job/ID was read and before the page with needs/ID/1 reaches the replica with the part first. apply_dependency_part then put the part's key into a set of orphaned keys, for good: when the watch delivered the job and the part again, the key stayed. A controller that led later deleted the keys of that set, without a condition on the job. Each controller that loaded the store after that lacked the job's dependencies. Change: the replica keeps each stored part under its job and number (DependencyParts), and adds the ids to the job when the job's record and all of its parts have been applied, in whatever order. Which parts have no job is derived when a term starts, not remembered from the load. The deletion of a part carries the condition that job/ID is absent; a refusal is logged and costs this one transaction. Parts were counted and not told apart; a repeated part counted as the missing one (only seen in the test: a job's parts are on later pages than its record, so a load doesn't bring that order). The deletions of obsolete keys move from the zone monitor to the leader's state writer. Why it works: whether the part or the job comes first no longer matters, and if a replica were wrong about the absence of a job, the state service would refuse the deletion. Tests, all three seen to fail on the code before: a_job_created_between_two_pages_keeps_its_dependencies (whole controllers): at n0 left Queued, right Cancelled; a_job_gets_its_dependencies_in_whatever_order_its_keys_are_applied: j-1, j-2, j-1, j-2 in place of j-1, j-2, j-3; parts_of_a_job_that_has_a_record_are_not_deleted: the part was gone.

--- a/src/controller/replication.rs
+++ b/src/controller/replication.rs
@@ -111,7 +111,7 @@
         new_replica.machine_types = new_replica.machine_types.or(known_machine_types);
         new_replica.finish_load(self.now(), self.runtime.unix_ms());
         let jobs = new_replica.jobs.len();
-        let parts_without_job = new_replica.orphaned_dependency_keys.len();
+        let parts_without_job = new_replica.dependency_parts_without_job().count();
         tracing::info!(
             revision = new_replica.revision,
             last_revision,
--- a/src/controller/tests/world/state.rs
+++ b/src/controller/tests/world/state.rs
@@ -22,6 +22,9 @@
 use crate::test_support::FakeStore;
 
 const PORT: u16 = 2379;
+/// Keys in a page of a listing, unless a test sets another number. Small pages make changes between two pages of a
+/// listing likely.
+const PAGE_KEYS: usize = 200;
 /// Seconds by which a withheld reply is delayed: longer than any client waits.
 const NO_REPLY_S: f64 = 600.0;
 /// Seconds after which a late transaction is applied, see `ControllerLink::late_writes`.
@@ -45,6 +48,12 @@
     pub late_writes: Cell<u32>,
     /// Seconds by which each request is delayed.
     pub slow_s: Cell<f64>,
+    /// Seconds by which each page of a listing is delayed, in addition to `slow_s`.
+    pub list_s: Cell<f64>,
+    /// Number of pages of listings that the controller has read.
+    pub pages_read: Cell<u32>,
+    /// The next watch is answered with 410: the changes that it asks for are no longer kept.
+    pub compacted: Cell<bool>,
     /// The controller simulates the production version: fields and keys unknown to that version are removed from what
     /// it reads and writes.
     pub is_production: Cell<bool>,
@@ -77,6 +86,8 @@
     pub links: Vec<ControllerLink>,
     /// Until then the service rejects all requests.
     pub outage_until: Cell<Time>,
+    /// Maximum number of keys in a page of a listing.
+    pub page_keys: Cell<usize>,
     /// Limits: bytes in a value, changes in a transaction, changes per second.
     pub limits: Cell<(usize, usize, f64)>,
     /// Token bucket for changes: tokens left, and the time of that count.
@@ -164,6 +175,7 @@
             last_lease_id: Cell::new(0),
             links: (0..NODES).map(|_| ControllerLink::default()).collect(),
             outage_until: Cell::new(0.0),
+            page_keys: Cell::new(PAGE_KEYS),
             limits: Cell::new((8 * 1024, 16, 20.0)),
             token_bucket: Cell::new((0.0, 0.0)),
             too_large: Cell::new(0),
@@ -338,7 +350,11 @@
             return self.lease(&request.method, rest, &request.body);
         }
         match path.strip_prefix(paths::KEYS) {
-            Some(rest) if rest.starts_with('?') => self.list_page(rest),
+            Some(rest) if rest.starts_with('?') => {
+                self.runtime.sleep(link.list_s.get()).await;
+                link.pages_read.set(link.pages_read.get() + 1);
+                self.list_page(rest)
+            }
             Some(rest) => self.get(&rest[1..]),
             None => Response::error(404, "no such path"),
         }
@@ -469,8 +485,9 @@
         let matching = store.keys.iter().filter(|(key, _)| key.starts_with(prefix));
         let mut rest = matching.filter(|(key, _)| key.as_str() > after).peekable();
         let mut pairs = Vec::new();
-        // Small pages make changes between two pages of a listing likely.
-        while let Some((key, (value, revision))) = rest.next_if(|_| pairs.len() < 200) {
+        while let Some((key, (value, revision))) =
+            rest.next_if(|_| pairs.len() < self.page_keys.get())
+        {
             pairs.push(json!({ "K": key, "V": value, "Stamp": revision }));
         }
         let more = rest.peek().is_some();
@@ -490,6 +507,9 @@
             self.runtime.now() + number_parameter("BlockMs").unwrap_or(0) as f64 / 1000.0;
         loop {
             let now = self.runtime.now();
+            if self.links[node].compacted.take() {
+                return Response::error(410, "compacted");
+            }
             // Open watches stay open during an outage, but deliver nothing.
             let withheld = self.refuses(node) || now < self.links[node].stalled_until.get();
             if !withheld {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -51,16 +51,11 @@
 
 impl Fleet {
     /// Creates a fleet without machines, for a term that begins now.
-    pub(crate) fn new(
-        config: Rc<Config>,
-        fencing_token: u64,
-        zones: ZoneMonitor,
-        now: Time,
-    ) -> Self {
+    pub(crate) fn new(config: Rc<Config>, fencing_token: u64, now: Time) -> Self {
         Fleet {
             machines: BTreeMap::new(),
             direct_call_queue: BTreeSet::new(),
-            zones,
+            zones: ZoneMonitor::default(),
             index_by_name: HashMap::new(),
             next_index: 0,
             worker_lease_expiry_s: config.worker_lease_expiry_s(),
--- a/src/fleet/zones.rs
+++ b/src/fleet/zones.rs
@@ -39,20 +39,9 @@
     /// When a delegate last relayed the state of a zone's tasks, by zone.
     last_relay_at: HashMap<Rc<str>, Time>,
     delegations: Delegations,
-    /// Keys to be deleted from the store because no controller reads them any more.
-    obsolete_keys: Vec<String>,
 }
 
 impl ZoneMonitor {
-    /// Creates the state of a new term, without partitions. `obsolete_keys` of former leaders are to be deleted from
-    /// the store.
-    pub(crate) fn new(obsolete_keys: Vec<String>) -> Self {
-        ZoneMonitor {
-            obsolete_keys,
-            ..ZoneMonitor::default()
-        }
-    }
-
     /// Records that a machine of a zone made contact.
     pub(crate) fn record_contact(&mut self, zone: Rc<str>, now: Time) {
         self.last_contact_at.insert(zone, now);
@@ -108,17 +97,6 @@
     pub(crate) fn disable_delegation_guard(&mut self) {
         self.delegations.disable_delegation_guard();
     }
-
-    /// Schedules the deletion of a key that no controller reads any more.
-    pub(crate) fn queue_obsolete_key(&mut self, key: String) {
-        self.obsolete_keys.push(key);
-    }
-
-    /// Takes at most `max_keys` keys to be deleted.
-    pub(crate) fn take_obsolete_keys(&mut self, max_keys: usize) -> Vec<String> {
-        let remaining = self.obsolete_keys.len().saturating_sub(max_keys);
-        self.obsolete_keys.split_off(remaining)
-    }
 }
 
 impl Fleet {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -10,6 +10,7 @@
 mod direct_commands;
 mod failure_attribution;
 mod job_lifecycle;
+mod obsolete_keys;
 mod pending_transaction;
 mod reconciliation;
 mod relays;
@@ -26,7 +27,6 @@
 use crate::autoscaler::arrival_forecast::ArrivalForecast;
 use crate::config::Config;
 use crate::fleet::machine_catalog::MachineCatalog;
-use crate::fleet::zones::ZoneMonitor;
 use crate::fleet::{AttemptKey, Fleet, TaskAttempt};
 use crate::jobs::assignment_log::AssignmentLog;
 use crate::jobs::job_table::JobTable;
@@ -36,6 +36,7 @@
 use crate::runtime::{ProcessPause, Time};
 use crate::scheduler::Scheduler;
 use crate::store::replica::StateReplica;
+use obsolete_keys::ObsoleteKeys;
 use state_writer::{StateWriter, WriteUrgency};
 
 /// What the leader's write loop does next after the outcome of a transaction.
@@ -98,28 +99,11 @@
         forecast: Rc<RefCell<ArrivalForecast>>,
         now: Time,
     ) -> Self {
-        for key in &replica.orphaned_dependency_keys {
-            let job_known = replica.job_of_dependency_part(key).is_some();
-            tracing::info!(%key, job_known, reason = "no job record", "deleting dependency part");
-        }
         let mut leader = Leader {
             fencing_token,
             term_started_at: now,
             catalog: MachineCatalog::new(machine_types),
-            fleet: Fleet::new(
-                config.clone(),
-                fencing_token,
-                // The keys of former leaders' delegations and of deleted jobs' dependencies are obsolete.
-                ZoneMonitor::new(
-                    replica
-                        .delegations
-                        .keys()
-                        .chain(&replica.orphaned_dependency_keys)
-                        .cloned()
-                        .collect(),
-                ),
-                now,
-            ),
+            fleet: Fleet::new(config.clone(), fencing_token, now),
             jobs: JobTable::default(),
             team_usage: TeamUsage::new(&config.deployment.teams),
             scheduler: Scheduler::new(&config.tunables),
@@ -130,6 +114,7 @@
                     replica.assignments.numbers(),
                     replica.assignments.oldest_valid(),
                 ),
+                ObsoleteKeys::of_replica(replica),
                 now,
             ),
             last_attempt_number: fencing_token << ATTEMPT_COUNTER_BITS,
--- a/src/leader/pending_transaction.rs
+++ b/src/leader/pending_transaction.rs
@@ -30,6 +30,8 @@
     pub(super) ends: Vec<JobIndex>,
     /// Jobs whose records the transaction deletes.
     pub(super) deleted_jobs: Vec<JobIndex>,
+    /// Jobs whose dependency parts the transaction deletes, on the condition that the jobs have no records.
+    pub(super) jobs_required_absent: Vec<Rc<str>>,
     /// Zones whose delegations the transaction writes.
     pub(super) delegated_zones: Vec<Rc<str>>,
 }
--- a/src/leader/state_writer.rs
+++ b/src/leader/state_writer.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use super::obsolete_keys::ObsoleteKeys;
 use super::pending_transaction::{DraftTransaction, InFlightTransaction};
 use super::write_budget::WriteBudget;
 use crate::config::StateLimits;
@@ -65,6 +66,7 @@
     ends: BTreeSet<JobIndex>,
     /// Finished jobs (ended and off all machines), whose records are to be deleted.
     pub(super) finished: BTreeSet<JobIndex>,
+    pub(super) obsolete_keys: ObsoleteKeys,
     pub(super) in_flight: Option<InFlightTransaction>,
     pub(super) budget: WriteBudget,
     /// When the budget allows a single change, but both a job's end and an assignment record are due, the two
@@ -76,14 +78,15 @@
 }
 
 impl StateWriter {
-    /// A writer without pending writes.
-    pub(super) fn new(log: AssignmentLog, now: Time) -> Self {
+    /// A writer without pending writes, but for the deletion of obsolete keys.
+    pub(super) fn new(log: AssignmentLog, obsolete_keys: ObsoleteKeys, now: Time) -> Self {
         StateWriter {
             pending: BTreeMap::new(),
             log,
             last_record_at: None,
             ends: BTreeSet::new(),
             finished: BTreeSet::new(),
+            obsolete_keys,
             in_flight: None,
             budget: WriteBudget::new(now),
             single_change_is_end: false,
@@ -190,7 +193,7 @@
         // Deletions are added only while the transaction uses less than half of the budget: they must not delay other
         // writes.
         let changes_max_with_deletions = txn_changes_max.min(self.budget.available() / 2);
-        self.add_deletions(&mut draft, source, changes_max_with_deletions);
+        self.add_deletions(&mut draft, source.jobs, changes_max_with_deletions);
         Some(draft)
     }
 
@@ -242,12 +245,11 @@
     }
 
     /// Adds deletions of keys that no controller needs any more, until the transaction has `changes_max` changes.
-    fn add_deletions(
-        &self,
-        draft: &mut DraftTransaction,
-        source: &mut WriteSource<'_>,
-        changes_max: usize,
-    ) {
+    ///
+    /// Assignment records and the records of finished jobs need no condition of their own. An assignment record is
+    /// invalid for good once a stored record says so. The end of a finished job is stored for good, and no controller
+    /// creates a job whose end is stored.
+    fn add_deletions(&mut self, draft: &mut DraftTransaction, jobs: &JobTable, changes_max: usize) {
         let changes = &mut draft.txn.changes;
         let records_max = changes_max
             .saturating_sub(changes.len())
@@ -261,14 +263,11 @@
             if changes.len() >= changes_max {
                 break;
             }
-            let key = keys::job(&source.jobs[index].id);
+            let key = keys::job(&jobs[index].id);
             changes.push(Change::Delete { key });
             draft.content.deleted_jobs.push(*index);
         }
-        let keys_max = changes_max.saturating_sub(changes.len());
-        for key in source.fleet.zones.take_obsolete_keys(keys_max) {
-            changes.push(Change::Delete { key });
-        }
+        self.obsolete_keys.append_deletions(draft, changes_max);
     }
 
     /// When the next write is due, if there is any. `past`, any moment in the past, is returned for a write that is due
--- a/src/leader/transaction_outcomes.rs
+++ b/src/leader/transaction_outcomes.rs
@@ -92,11 +92,20 @@
             .map(|index| (*index, keys::job_end(&self.jobs[index].id)))
             .collect();
         let is_end_key = |key: &String| ends.iter().any(|(_, end_key)| end_key == key);
-        if let Some(own_key) = failed_keys.iter().find(|key| !is_end_key(key)) {
+        let required_absent = in_flight.content.jobs_required_absent.iter();
+        let present_jobs: Vec<&Rc<str>> = required_absent
+            .filter(|id| failed_keys.contains(&keys::job(id)))
+            .collect();
+        let is_present_job = |key: &String| present_jobs.iter().any(|id| keys::job(id) == *key);
+        let is_own_key = |key: &&String| !is_end_key(key) && !is_present_job(key);
+        if let Some(own_key) = failed_keys.iter().find(is_own_key) {
             // Only this term writes that key, so an earlier copy of the transaction was applied, even if the service
             // refused every copy that this leader knows of. Reading the key back avoids a needless resignation.
             return AfterTransaction::ReadBack(own_key.clone());
         }
+        for job in present_jobs {
+            tracing::error!(%job, "dependency part kept: its job has a record");
+        }
         // A user's cancellation or an earlier copy of this transaction stored these ends; the replica will show how the
         // jobs ended.
         for (index, key) in ends {
@@ -143,6 +152,7 @@
             deleted_records,
             ends,
             deleted_jobs,
+            jobs_required_absent: _,
             delegated_zones,
         } = in_flight.content;
         for zone in &delegated_zones {
@@ -197,11 +207,8 @@
         }
         self.writer.unmark_finished(index);
         if let Some(job) = self.jobs.remove(&index) {
-            for part in 1..=job.dependency_parts {
-                let key = keys::dependency_part(&job.id, part);
-                tracing::info!(%key, reason = "job finished", "deleting dependency part");
-                self.fleet.zones.queue_obsolete_key(key);
-            }
+            let obsolete_keys = &mut self.writer.obsolete_keys;
+            obsolete_keys.queue_dependency_parts(&job.id, job.dependency_parts);
         }
         self.dequeue(index);
     }
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -97,6 +97,8 @@
     DependencyPart {
         /// The id of the job that depends on the jobs listed in the part.
         job: &'a str,
+        /// The number of the part.
+        part: u32,
     },
     /// See [`job_end`].
     JobEnd {
@@ -127,9 +129,13 @@
             DELEGATION => StoredKey::Delegation,
             RELAY => StoredKey::Relay,
             JOB => StoredKey::Job { id: rest },
-            DEPENDENCY_PART => StoredKey::DependencyPart {
-                job: rest.split_once('/')?.0,
-            },
+            DEPENDENCY_PART => {
+                let (job, part) = rest.split_once('/')?;
+                StoredKey::DependencyPart {
+                    job,
+                    part: part.parse().ok()?,
+                }
+            }
             JOB_END => StoredKey::JobEnd { id: rest },
             QUOTA => StoredKey::Quota { account: rest },
             ASSIGNMENT_RECORD => StoredKey::AssignmentRecord {
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -3,14 +3,17 @@
 
 mod assignments;
 mod dependencies;
+mod dependency_parts;
 mod job;
 mod jobs;
 mod quota_usage;
 
 pub use assignments::AssignmentRecords;
+pub use dependency_parts::DependencyPartId;
+use dependency_parts::DependencyParts;
 pub use job::{MachineLocation, RecordedTask, ReplicatedJob};
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use quota::Ledger;
@@ -67,9 +70,8 @@
     dependencies: DependencyGraph,
     /// Whether all pages are loaded. Until then, a job may be known before the jobs that it depends on.
     is_loaded: bool,
-    /// Keys of stored dependency parts whose jobs have no record, usually because it was deleted; a new leader deletes
-    /// these keys.
-    pub orphaned_dependency_keys: BTreeSet<String>,
+    /// The dependency parts that are stored.
+    dependency_parts: DependencyParts,
     /// The quota accounts and their usage; None if quotas are not enabled at this controller.
     pub quota: Option<Ledger>,
     /// Whether quotas are in force, that is, whether quota settings are stored. They may be in force even if this
@@ -111,8 +113,8 @@
             }
             StoredKey::Job { id } => self.apply_job(id, value, revision),
             StoredKey::JobEnd { id } => self.apply_job_end(id, value?),
-            StoredKey::DependencyPart { job } => {
-                self.apply_dependency_part(key, job, value);
+            StoredKey::DependencyPart { job, part } => {
+                self.apply_dependency_part(job, part, value);
                 None
             }
             StoredKey::Quota { account } => {
--- a/src/store/replica/dependencies.rs
+++ b/src/store/replica/dependencies.rs
@@ -4,44 +4,50 @@
 
 use serde_json::value::RawValue;
 
-use super::{ReplicatedJob, StateReplica};
+use super::{DependencyPartId, ReplicatedJob, StateReplica};
 use crate::jobs::dependency_graph::{JobOutcome, ReadinessChanges};
 use crate::runtime::Time;
-use crate::store::keys::StoredKey;
-use crate::store::records::decode;
 
 impl StateReplica {
     /// Applies a part of a job's dependencies, or the deletion of the part.
-    pub(super) fn apply_dependency_part(&mut self, key: &str, id: &str, value: Option<&RawValue>) {
+    pub(super) fn apply_dependency_part(&mut self, id: &str, part: u32, value: Option<&RawValue>) {
+        let part = DependencyPartId {
+            job: id.into(),
+            number: part,
+        };
         let Some(value) = value else {
-            self.orphaned_dependency_keys.remove(key);
+            self.dependency_parts.remove(&part);
             return;
         };
-        let Some(job) = self.jobs.get_mut(id).filter(|job| job.spec.is_some()) else {
-            self.orphaned_dependency_keys.insert(key.to_owned());
+        self.dependency_parts.insert(&part, value);
+        self.merge_dependency_parts(&part.job);
+    }
+
+    /// Adds the dependencies in a job's parts to its submission, once the job's record and all of its parts have been
+    /// applied. They may come in any order: a load that reads the page with the parts after the creation of a job that
+    /// it has not read brings the parts first.
+    pub(super) fn merge_dependency_parts(&mut self, id: &Rc<str>) {
+        let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if job.missing_dependency_parts == 0 {
+        let Some(spec) = job.spec.as_mut().filter(|_| job.lacks_dependency_parts) else {
             return;
-        }
-        job.missing_dependency_parts -= 1;
-        let Some(dependencies) = decode::<Vec<String>>(value) else {
+        };
+        let Some(dependencies) = self.dependency_parts.take_all(id, job.dependency_parts) else {
             return;
         };
-        if let Some(spec) = &mut job.spec {
-            Rc::make_mut(spec).waits_on.extend(dependencies);
-        }
-        self.add_dependencies(&id.into());
+        Rc::make_mut(spec).waits_on.extend(dependencies);
+        job.lacks_dependency_parts = false;
+        self.add_dependencies(id);
     }
 
-    /// The job of a dependency part's key, if its record is in the replica.
-    pub fn job_of_dependency_part(&self, key: &str) -> Option<&ReplicatedJob> {
-        match StoredKey::parse(key)? {
-            StoredKey::DependencyPart { job } => {
-                self.jobs.get(job).filter(|job| job.spec.is_some())
-            }
-            _ => None,
-        }
+    /// Returns the stored dependency parts whose jobs have no record. Once every change up to a revision has been
+    /// applied, these are the parts of jobs whose records were deleted, as the parts are created together with the job.
+    pub fn dependency_parts_without_job(&self) -> impl Iterator<Item = DependencyPartId> {
+        let has_record = |id: &str| self.jobs.get(id).is_some_and(|job| job.spec.is_some());
+        self.dependency_parts
+            .ids()
+            .filter(move |part| !has_record(&part.job))
     }
 
     /// Adds a blocked job to the dependency graph. Does nothing before the replica is loaded and all parts of the job's
@@ -54,7 +60,7 @@
         let Some(spec) = job.spec.as_ref().filter(|_| is_blocked_and_loaded) else {
             return;
         };
-        if job.end.is_some() || job.missing_dependency_parts > 0 {
+        if job.end.is_some() || job.lacks_dependency_parts {
             return;
         }
         let jobs = &self.jobs;
--- a/src/store/replica/job.rs
+++ b/src/store/replica/job.rs
@@ -69,8 +69,8 @@
     pub dependency_cancelled: bool,
     /// How many values besides the job's own record hold dependencies of the job.
     pub dependency_parts: u32,
-    /// How many of the values counted by `dependency_parts` have not been applied yet.
-    pub(super) missing_dependency_parts: u32,
+    /// Whether the values counted by `dependency_parts` are still to be added to the dependencies in `spec`.
+    pub(super) lacks_dependency_parts: bool,
     /// The job's charge to its team's quota. None once the job is done or its record is deleted, and if quotas are not
     /// enabled at this controller.
     pub(super) charge: Option<Charge>,
--- a/src/store/replica/jobs.rs
+++ b/src/store/replica/jobs.rs
@@ -17,7 +17,10 @@
     ) -> Option<ReplicaEvent> {
         let id: Rc<str> = id.into();
         match value {
-            Some(value) => self.insert_job(&id, value, revision),
+            Some(value) => {
+                self.insert_job(&id, value, revision);
+                self.merge_dependency_parts(&id);
+            }
             None if self.jobs.contains_key(&id) => self.remove_job(&id),
             None => return None,
         }
@@ -37,7 +40,7 @@
         job.submitted_unix_ms = record.submitted_unix_ms;
         job.is_blocked = !record.spec.waits_on.is_empty() || record.dependency_parts > 0;
         job.dependency_parts = record.dependency_parts;
-        job.missing_dependency_parts = record.dependency_parts;
+        job.lacks_dependency_parts = record.dependency_parts > 0;
         let is_done = job.end.is_some_and(|end| end.end == JobEnd::Done);
         if !is_done {
             self.charge(id, &record.spec, record.charged_to);
@@ -55,6 +58,7 @@
         };
         job.spec = None;
         job.is_blocked = false;
+        job.lacks_dependency_parts = false;
         job.clear_tasks();
         let charge = job.charge.take();
         if !job.is_known() {
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -1,3 +1,5 @@
+mod dependency_parts;
+
 use super::*;
 use crate::store::keys;
 use crate::test_support::job;
--- a/src/tests/scenarios.rs
+++ b/src/tests/scenarios.rs
@@ -1,6 +1,7 @@
 //! Failure scenarios of the leader's state machine: simulated clock, in-memory state service, scripted workers. Nothing
 //! runs concurrently: each test calls the leader at chosen times, which are in seconds.
 
+mod dependency_parts;
 mod direct_commands;
 mod machines;
 mod placement_order;
