Give the leader a job only when the job's dependency parts have been applied

Callers saw: none of the jobs before a job with dependency parts had its priority or its deadline as long as the leader of the moment of the submission led. Cause: the watch delivers the job before its parts. The leader took the job over at its record, and with it a copy of the submission without the dependencies in the parts. Change: the replica's event of a job with parts follows when all parts have been applied, which is in the same batch of events.

--- a/src/controller/tests/dependency_parts.rs
+++ b/src/controller/tests/dependency_parts.rs
@@ -5,7 +5,7 @@
 
 use super::world::{NODES, World, run_scenario, start_cluster};
 use crate::config::Config;
-use crate::protocol::users::{JobState, Submission};
+use crate::protocol::users::{JobState, Priority, Submission};
 use crate::store::keys;
 use crate::test_support::job;
 
@@ -133,3 +133,25 @@
         }
     });
 }
+
+/// The leader's requirements of a job must reach the dependencies in its parts too. The leader took over a job as soon
+/// as its record was applied, before the parts, so none of its dependencies had its priority until the next failover.
+#[test]
+fn priority_propagates_to_dependencies_in_parts() {
+    run_scenario(small_values, async |world: Rc<World>| {
+        start_with_dependencies(&world).await;
+        let dependent = Submission {
+            priority: Priority::High,
+            ..dependent_job()
+        };
+        assert_eq!(world.submit(1, &dependent).await.0, 201);
+        world.run(1.0).await;
+        let controller = world.node(0).unwrap();
+        let leader = controller.leadership.leader.borrow();
+        let leader = leader.as_ref().unwrap();
+        for id in &dependent.waits_on {
+            let index = leader.job_index(id).unwrap();
+            assert_eq!(leader.jobs[&index].spec.priority, Priority::High, "{id}");
+        }
+    });
+}
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -113,10 +113,7 @@
             }
             StoredKey::Job { id } => self.apply_job(id, value, revision),
             StoredKey::JobEnd { id } => self.apply_job_end(id, value?),
-            StoredKey::DependencyPart { job, part } => {
-                self.apply_dependency_part(job, part, value);
-                None
-            }
+            StoredKey::DependencyPart { job, part } => self.apply_dependency_part(job, part, value),
             StoredKey::Quota { account } => {
                 self.apply_quota(account, value, revision);
                 None
--- a/src/store/replica/dependencies.rs
+++ b/src/store/replica/dependencies.rs
@@ -4,41 +4,49 @@
 
 use serde_json::value::RawValue;
 
-use super::{DependencyPartId, ReplicatedJob, StateReplica};
+use super::{DependencyPartId, ReplicaEvent, ReplicatedJob, StateReplica};
 use crate::jobs::dependency_graph::{JobOutcome, ReadinessChanges};
 use crate::runtime::Time;
 
 impl StateReplica {
-    /// Applies a part of a job's dependencies, or the deletion of the part.
-    pub(super) fn apply_dependency_part(&mut self, id: &str, part: u32, value: Option<&RawValue>) {
+    /// Applies a part of a job's dependencies, or the deletion of the part. Returns the event of the job if this was the
+    /// last part that it lacked.
+    pub(super) fn apply_dependency_part(
+        &mut self,
+        id: &str,
+        part: u32,
+        value: Option<&RawValue>,
+    ) -> Option<ReplicaEvent> {
         let part = DependencyPartId {
             job: id.into(),
             number: part,
         };
         let Some(value) = value else {
             self.dependency_parts.remove(&part);
-            return;
+            return None;
         };
         self.dependency_parts.insert(&part, value);
-        self.merge_dependency_parts(&part.job);
+        self.merge_dependency_parts(&part.job)
+            .then_some(ReplicaEvent::Job(part.job))
     }
 
     /// Adds the dependencies in a job's parts to its submission, once the job's record and all of its parts have been
     /// applied. They may come in any order: a load that reads the page with the parts after the creation of a job that
-    /// it has not read brings the parts first.
-    pub(super) fn merge_dependency_parts(&mut self, id: &Rc<str>) {
+    /// it has not read brings the parts first. Returns whether the dependencies were added.
+    pub(super) fn merge_dependency_parts(&mut self, id: &Rc<str>) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return false;
         };
         let Some(spec) = job.spec.as_mut().filter(|_| job.lacks_dependency_parts) else {
-            return;
+            return false;
         };
         let Some(dependencies) = self.dependency_parts.take_all(id, job.dependency_parts) else {
-            return;
+            return false;
         };
         Rc::make_mut(spec).waits_on.extend(dependencies);
         job.lacks_dependency_parts = false;
         self.add_dependencies(id);
+        true
     }
 
     /// Returns the stored dependency parts whose jobs have no record. Once every change up to a revision has been
--- a/src/store/replica/jobs.rs
+++ b/src/store/replica/jobs.rs
@@ -4,7 +4,7 @@
 
 use serde_json::value::RawValue;
 
-use super::{ReplicaEvent, StateReplica};
+use super::{ReplicaEvent, ReplicatedJob, StateReplica};
 use crate::store::records::{EndRecord, JobEnd, JobRecord, decode};
 
 impl StateReplica {
@@ -20,6 +20,11 @@
             Some(value) => {
                 self.insert_job(&id, value, revision);
                 self.merge_dependency_parts(&id);
+                let lacks_parts = |job: &ReplicatedJob| job.lacks_dependency_parts;
+                if self.jobs.get(&id).is_some_and(lacks_parts) {
+                    // The event follows when the parts have been applied.
+                    return None;
+                }
             }
             None if self.jobs.contains_key(&id) => self.remove_job(&id),
             None => return None,
