Test that parts left behind by a crashed leader are deleted by a controller that followed it

Seen: a leader deletes a job's record and, in a later transaction, the job's dependency parts. If it crashes in between, the next leader deleted the parts only if it had loaded the store after the job's record was deleted: a replica that had applied the deletion did not count them as orphaned. Such keys stayed in the store.

--- a/src/store/replica/tests/dependency_parts.rs
+++ b/src/store/replica/tests/dependency_parts.rs
@@ -3,7 +3,7 @@
 use super::raw;
 use crate::store::keys;
 use crate::store::records::{EndRecord, JobEnd, JobRecord};
-use crate::store::replica::StateReplica;
+use crate::store::replica::{DependencyPartId, StateReplica};
 use crate::test_support::job;
 
 const JOB: &str = "j-9";
@@ -98,3 +98,27 @@
         }
     }
 }
+
+/// A leader that crashes after it has deleted a job's record leaves the job's parts. They must be known as obsolete to a
+/// controller that has followed the deletion, not only to one that loads the store afterwards: otherwise they stay as
+/// long as such controllers lead.
+#[test]
+fn parts_of_a_deleted_job_are_obsolete_until_they_are_deleted() {
+    let mut replica = replica_with_dependencies();
+    replica.finish_load(0.0, 0);
+    for stored in [job_record(), part(1), part(2)] {
+        put(&mut replica, &stored, CREATED_AT);
+    }
+    end(&mut replica, JOB, JobEnd::Cancelled, CREATED_AT + 1);
+    assert_eq!(parts_without_job(&replica), NONE);
+    replica.apply(&keys::job(JOB), None, CREATED_AT + 2);
+    assert_eq!(parts_without_job(&replica), [1, 2]);
+    replica.apply(&keys::dependency_part(JOB, 1), None, CREATED_AT + 3);
+    assert_eq!(parts_without_job(&replica), [2]);
+    let id = DependencyPartId {
+        job: JOB.into(),
+        number: 2,
+    };
+    replica.apply(&id.key(), None, CREATED_AT + 4);
+    assert_eq!(parts_without_job(&replica), NONE);
+}
