Don't revive jobs that the leader has finished when its replica is loaded again

Effect: the page with end/ID is read before that with job/ID. If the leader stores a job's end and deletes its record after the second of them was read, the replica shows a job without an end until the watch has delivered it. resync_leader passed every job to the leader again, which took the finished one over with the tasks of the assignment log, and could start them once more until the watch brought the end. Change: Leader::resync adds only jobs accepted after the revision up to which the leader has been given every change. Those before are with the leader, or finished by it. Test: a_reload_revives_no_job_that_the_leader_has_finished; seen to fail without the guard (leader.job_index is some).

--- a/src/controller/replication.rs
+++ b/src/controller/replication.rs
@@ -120,42 +120,30 @@
             parts_without_job,
             "replica loaded"
         );
-        *self.replication.replica.borrow_mut() = new_replica;
+        let old_replica = self.replication.replica.replace(new_replica);
         self.replication.is_loaded.set(true);
         self.replication.record_current_at(load_started_at);
-        self.on_replica_loaded();
+        self.on_replica_loaded(&old_replica);
         Ok(())
     }
 
-    /// Brings everything that depends on the replica up to date after a load.
-    fn on_replica_loaded(&self) {
+    /// Brings everything that depends on the replica up to date after a load that replaced `old_replica`.
+    fn on_replica_loaded(&self, old_replica: &StateReplica) {
         if self.quota.is_none() && self.replication.replica.borrow().has_quota_settings {
             tracing::warn!("quotas are in force, but not enabled at this controller");
         }
         self.prune_quota_attempts();
-        self.resync_leader();
+        self.resync_leader(old_replica.revision);
         self.leadership.leader_record_changed.set();
         self.replication.advanced.notify_all();
     }
 
-    /// Passes every job to the leader again, if this controller leads: changes made before the reload may have been
-    /// missed.
-    fn resync_leader(&self) {
-        let now = self.now();
+    /// Passes the jobs to the leader again, if this controller leads: changes after `known_revision`, the revision of
+    /// the replica before the load, may have been missed.
+    fn resync_leader(&self, known_revision: u64) {
         let replica = self.replication.replica.borrow();
         if let Some(leader) = self.leadership.leader.borrow_mut().as_mut() {
-            for (id, job) in &replica.jobs {
-                // A job that has ended may still occupy machines and count against its team's limit.
-                leader.add_stored_job(id, job, now);
-                if job.dependency_cancelled {
-                    leader.on_dependency_cancelled(id);
-                } else if !job.is_blocked {
-                    leader.on_ready(id, job.ready_at.unwrap_or(now));
-                }
-                if let Some(end) = &job.end {
-                    leader.on_job_end_stored(id, end, now);
-                }
-            }
+            leader.resync(&replica, known_revision, self.now());
         }
         self.leadership.round_due.set();
     }
--- a/src/leader/job_lifecycle.rs
+++ b/src/leader/job_lifecycle.rs
@@ -6,7 +6,7 @@
 use crate::jobs::{Job, JobIndex, MachineIndex};
 use crate::runtime::Time;
 use crate::store::records::{EndRecord, JobEnd};
-use crate::store::replica::{RecordedTask, ReplicatedJob};
+use crate::store::replica::{RecordedTask, ReplicatedJob, StateReplica};
 use std::rc::Rc;
 
 impl Leader {
@@ -18,6 +18,29 @@
         }
     }
 
+    /// Takes over what a replica shows that was loaded again during the term. The leader has been given every change up
+    /// to `known_revision`, and may have missed later ones.
+    ///
+    /// Jobs that were accepted up to then are not added: the leader has them, or has finished them. The load reads the
+    /// page with a job's record after that with its end, so it may show a finished job without the end that the leader
+    /// stored in between; if the job was added, its tasks would be started again.
+    pub fn resync(&mut self, replica: &StateReplica, known_revision: u64, now: Time) {
+        for (id, job) in &replica.jobs {
+            if job.accepted_revision > known_revision {
+                // A job that has ended may still occupy machines and count against its team's limit.
+                self.add_stored_job(id, job, now);
+            }
+            if job.dependency_cancelled {
+                self.on_dependency_cancelled(id);
+            } else if !job.is_blocked {
+                self.on_ready(id, job.ready_at.unwrap_or(now));
+            }
+            if let Some(end) = &job.end {
+                self.on_job_end_stored(id, end, now);
+            }
+        }
+    }
+
     /// As [`Leader::add_stored_job`], without propagating the job's requirements. None if the job is not added.
     pub(super) fn add_job(
         &mut self,
--- a/src/tests/scenarios.rs
+++ b/src/tests/scenarios.rs
@@ -5,6 +5,7 @@
 mod direct_commands;
 mod machines;
 mod placement_order;
+mod reloads;
 mod scaling;
 mod tasks;
 mod writes;
