Drop obsolete task states when a replica has caught up with its load; test loads of a changing store

Related path, found by reading on: the keys of assignment records sort by their digits, so record 100 is on an earlier page than 98 and 99. A load that reads the place of 100 before it is written, 98 before and 99 after both are rewritten into 100 and deleted, keeps what 98 said of a task that 99 had released. That controller showed the task as running until it loaded again; a leader ignores invalid records, so nothing was started or held for it. Change: the replica knows the revision of its load's last page (the quota ledger was told already), and drops task states of invalid records once more when it has reached it. Tests: a_released_task_is_not_assigned_after_a_load_across_rewritten_records failed before (left 1, right 0). a_load_between_changes_equals_one_in_one_piece_after_the_watch: a store with every kind of key changes at random between the pages, and the events of a transaction come in any order; a replica that has caught up must equal one that was loaded in one piece. It did not find the released task by itself: that one has its own test.

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -104,8 +104,9 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     revision: u64,
-    /// Revision of the last page of the initial read. Pages are read one after another at different revisions: until
-    /// the changes up to this revision are applied, charges of jobs may be missing.
+    /// Revision of the last page of the initial read. Pages are read one after another at different revisions, those with
+    /// jobs before those with the accounts that the jobs are charged to: until the changes up to this revision are
+    /// applied, charges of jobs may be missing.
     consistent_from: u64,
     pub(crate) settings: Versioned<SettingsRecord>,
     pub(crate) shared: Versioned<SharedRecord>,
--- a/src/controller/replication.rs
+++ b/src/controller/replication.rs
@@ -102,11 +102,7 @@
         // Changes made between the reads of two pages are delivered by the watch, which starts at the revision of the
         // first page.
         new_replica.advance_to(first_revision.unwrap_or(0));
-        if let Some(ledger) = &mut new_replica.quota {
-            // Jobs are read before the quota accounts that they are charged to: until the watch has delivered the
-            // changes made during the load, charges are missing.
-            ledger.set_consistent_from(last_revision);
-        }
+        new_replica.set_consistent_from(last_revision);
         let known_machine_types = self.replication.replica.borrow().machine_types.clone();
         new_replica.machine_types = new_replica.machine_types.or(known_machine_types);
         new_replica.finish_load(self.now(), self.runtime.unix_ms());
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -70,6 +70,9 @@
     dependencies: DependencyGraph,
     /// Whether all pages are loaded. Until then, a job may be known before the jobs that it depends on.
     is_loaded: bool,
+    /// The revision of the load's last page, until the changes up to it have been applied. As the pages are of different
+    /// revisions, the replica may until then hold keys without those that they belong to.
+    consistent_from: Option<u64>,
     /// The dependency parts that are stored.
     dependency_parts: DependencyParts,
     /// The quota accounts and their usage; None if quotas are not enabled at this controller.
@@ -148,9 +151,25 @@
         }
     }
 
+    /// Records the revision of the last page of a load, whose pages were read at different revisions.
+    pub fn set_consistent_from(&mut self, revision: u64) {
+        self.consistent_from = Some(revision);
+        if let Some(ledger) = &mut self.quota {
+            ledger.set_consistent_from(revision);
+        }
+    }
+
     /// Records that every change up to a revision of the store has been applied.
     pub fn advance_to(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
+        if self
+            .consistent_from
+            .is_some_and(|from| self.revision >= from)
+        {
+            self.consistent_from = None;
+            // The load may have read a record before a page that lacked the later one which makes it invalid.
+            self.assignments.drop_obsolete_tasks(&mut self.jobs);
+        }
         if let Some(ledger) = &mut self.quota {
             ledger.advance_to(revision);
         }
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -1,4 +1,6 @@
+mod changing_store;
 mod dependency_parts;
+mod paged_load;
 
 use super::*;
 use crate::store::keys;
