Decide what becomes of jobs whose dependency parts an earlier version deleted

Need: versions before the fix deleted needs/ID/N of unfinished jobs. What such a job waits on can't be told any more from the store. Its user can cancel it; the jobs that depend on it are then cancelled with it. Each new leader logs an error for each: 'dependencies of a job are lost, it stays pending'. Change: a replica that has caught up with its load adds such jobs to the dependency graph with what is left and one dependency that never ends. Before, they were in no graph, and a cancellation never reached them. Tests: a_job_with_lost_dependencies_stays_blocked_and_is_cancelled_with_those_that_are_left, seen to fail without the change (dependency_cancelled false); a_job_whose_part_was_deleted_stays_queued_until_its_user_cancels_it holds with and without, and fixes the decision.

--- a/src/controller/tests/dependency_parts.rs
+++ b/src/controller/tests/dependency_parts.rs
@@ -5,8 +5,11 @@
 
 use super::world::{NODES, World, run_scenario, start_cluster};
 use crate::config::Config;
+use crate::protocol::store::{Change, Txn};
 use crate::protocol::users::{JobState, Priority, Submission};
 use crate::store::keys;
+use crate::store::records::{EndRecord, JobEnd};
+use crate::store::transaction::put_change;
 use crate::test_support::job;
 
 /// Limits of the state service under which [`DEPENDENCIES`] ids don't fit into one value with their job.
@@ -155,3 +158,62 @@
         }
     });
 }
+
+/// Stores a change that no controller has made.
+fn store_change(world: &World, change: Change) {
+    world.state.apply(&Txn {
+        conditions: Vec::new(),
+        changes: vec![change],
+    });
+}
+
+async fn restart_all(world: &World) {
+    (0..NODES).for_each(|node| world.kill(node));
+    world.run(RESTART_S).await;
+    (0..NODES).for_each(|node| world.start(node));
+    for node in 0..NODES {
+        wait_until_loaded(world, node).await;
+    }
+}
+
+/// An earlier version deleted the only dependency part of an unfinished job. No controller can tell any more what the job
+/// waits on: it stays queued and known at every controller, also when its dependencies are done, until its user cancels
+/// it. Then the jobs that depend on it are cancelled too.
+#[test]
+fn a_job_whose_part_was_deleted_stays_queued_until_its_user_cancels_it() {
+    run_scenario(small_values, async |world: Rc<World>| {
+        start_with_dependencies(&world).await;
+        let damaged = dependent_job();
+        world.submit_until_accepted(0, &damaged).await;
+        let after = Submission {
+            waits_on: vec![damaged.id.clone()],
+            ..long_job("j-1")
+        };
+        world.submit_until_accepted(0, &after).await;
+        let key = keys::dependency_part(&damaged.id, 1);
+        store_change(&world, Change::Delete { key });
+        restart_all(&world).await;
+        let done = EndRecord {
+            end: JobEnd::Done,
+            tasks_done: 1,
+            ended_unix_ms: None,
+        };
+        for id in dependency_ids() {
+            store_change(&world, put_change(keys::job_end(&id), &done).unwrap());
+        }
+        world.run(60.0).await;
+        for node in 0..NODES {
+            for id in [&damaged.id, &after.id] {
+                let answer = world.query(node, id).await;
+                assert_eq!(answer, (200, Some(JobState::Queued)), "{id} at n{node}");
+            }
+        }
+        let answer = world.cancel_until_confirmed(1, &damaged.id).await;
+        assert_eq!(answer, JobState::Cancelled);
+        world.run(world.config.deployment.workers.cancel_s).await;
+        for node in 0..NODES {
+            let answer = world.query(node, &after.id).await;
+            assert_eq!(answer, (200, Some(JobState::Cancelled)), "at n{node}");
+        }
+    });
+}
--- a/src/jobs/dependency_graph.rs
+++ b/src/jobs/dependency_graph.rs
@@ -49,7 +49,29 @@
         dependencies: &[String],
         outcome: impl Fn(&str) -> JobOutcome,
     ) {
-        let mut open_dependencies = 0;
+        self.add_with_unknown(id, dependencies, 0, outcome);
+    }
+
+    /// Adds a job of which some dependencies are not known. It never becomes ready, and is cancelled if one of the known
+    /// dependencies is.
+    pub fn add_incomplete(
+        &mut self,
+        id: &Rc<str>,
+        known_dependencies: &[String],
+        outcome: impl Fn(&str) -> JobOutcome,
+    ) {
+        self.add_with_unknown(id, known_dependencies, 1, outcome);
+    }
+
+    /// Adds a job with `unknown_dependencies` dependencies that never end in addition to `dependencies`.
+    fn add_with_unknown(
+        &mut self,
+        id: &Rc<str>,
+        dependencies: &[String],
+        unknown_dependencies: usize,
+        outcome: impl Fn(&str) -> JobOutcome,
+    ) {
+        let mut open_dependencies = unknown_dependencies;
         for dependency in dependencies {
             match outcome(dependency) {
                 JobOutcome::Done => {}
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -121,6 +121,9 @@
             unix_ms_at_time_zero: None,
             config,
         };
+        for job in replica.jobs_with_lost_dependencies() {
+            tracing::error!(%job, "dependencies of a job are lost, it stays pending");
+        }
         let mut jobs: Vec<_> = replica.jobs.iter().collect();
         jobs.sort_by_key(|(_, job)| job.accepted_revision);
         let added: Vec<JobIndex> = jobs
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -70,9 +70,11 @@
     dependencies: DependencyGraph,
     /// Whether all pages are loaded. Until then, a job may be known before the jobs that it depends on.
     is_loaded: bool,
-    /// The revision of the load's last page, until the changes up to it have been applied. As the pages are of different
-    /// revisions, the replica may until then hold keys without those that they belong to.
-    consistent_from: Option<u64>,
+    /// The revision of the load's last page. As the pages are of different revisions, the replica may hold keys without
+    /// those that they belong to until the changes up to this revision have been applied.
+    consistent_from: u64,
+    /// Whether the load has finished and the changes up to `consistent_from` have been applied.
+    is_consistent: bool,
     /// The dependency parts that are stored.
     dependency_parts: DependencyParts,
     /// The quota accounts and their usage; None if quotas are not enabled at this controller.
@@ -153,7 +155,7 @@
 
     /// Records the revision of the last page of a load, whose pages were read at different revisions.
     pub fn set_consistent_from(&mut self, revision: u64) {
-        self.consistent_from = Some(revision);
+        self.consistent_from = revision;
         if let Some(ledger) = &mut self.quota {
             ledger.set_consistent_from(revision);
         }
@@ -162,19 +164,23 @@
     /// Records that every change up to a revision of the store has been applied.
     pub fn advance_to(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
-        if self
-            .consistent_from
-            .is_some_and(|from| self.revision >= from)
-        {
-            self.consistent_from = None;
-            // The load may have read a record before a page that lacked the later one which makes it invalid.
-            self.assignments.drop_obsolete_tasks(&mut self.jobs);
-        }
+        self.finish_if_consistent();
         if let Some(ledger) = &mut self.quota {
             ledger.advance_to(revision);
         }
     }
 
+    /// Completes what needs a consistent replica, once it is loaded and has caught up with its load.
+    fn finish_if_consistent(&mut self) {
+        if self.is_consistent || !self.is_loaded || self.revision < self.consistent_from {
+            return;
+        }
+        self.is_consistent = true;
+        // The load may have read a record before a page that lacked the later one which makes it invalid.
+        self.assignments.drop_obsolete_tasks(&mut self.jobs);
+        self.add_jobs_with_lost_dependencies();
+    }
+
     /// Completes the load of all pages: drops obsolete task states, sets the submission and ready times of jobs, and
     /// builds the dependency graph.
     ///
@@ -189,6 +195,7 @@
         for id in &blocked {
             self.add_dependencies(id);
         }
+        self.finish_if_consistent();
         self.restore_ready_times(now, steady_time_of);
     }
 
--- a/src/store/replica/dependencies.rs
+++ b/src/store/replica/dependencies.rs
@@ -1,5 +1,6 @@
 //! Dependencies between jobs in the replica: which jobs are blocked, and which became ready or cancelled.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use serde_json::value::RawValue;
@@ -8,6 +9,14 @@
 use crate::jobs::dependency_graph::{JobOutcome, ReadinessChanges};
 use crate::runtime::Time;
 
+/// Returns the outcome of a dependency according to its own stored end.
+fn outcome_in(jobs: &HashMap<Rc<str>, ReplicatedJob>) -> impl Fn(&str) -> JobOutcome {
+    |dependency| {
+        let job = jobs.get(dependency);
+        job.map_or(JobOutcome::Open, ReplicatedJob::outcome)
+    }
+}
+
 impl StateReplica {
     /// Applies a part of a job's dependencies, or the deletion of the part. Returns the event of the job if this was the
     /// last part that it lacked.
@@ -49,6 +58,38 @@
         true
     }
 
+    /// Returns the unfinished jobs some of whose dependencies are lost, in order of acceptance: a part that their records
+    /// count is not stored, as an earlier version deleted it, or can't be read. Empty until the replica has caught up with
+    /// its load, as the parts may have been deleted together with the job.
+    pub fn jobs_with_lost_dependencies(&self) -> Vec<Rc<str>> {
+        let has_lost = |job: &ReplicatedJob| {
+            job.spec.is_some() && !job.has_ended() && job.lacks_dependency_parts
+        };
+        let jobs = self.jobs.iter();
+        let jobs = jobs.filter(|(_, job)| self.is_consistent && has_lost(job));
+        let mut by_acceptance: Vec<(u64, Rc<str>)> = jobs
+            .map(|(id, job)| (job.accepted_revision, id.clone()))
+            .collect();
+        by_acceptance.sort_unstable();
+        by_acceptance.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Adds the jobs with lost dependencies to the dependency graph. They must not start, as a lost dependency may not be
+    /// done, and nothing shows that one is cancelled; but each is cancelled if a dependency that is not lost is.
+    pub(super) fn add_jobs_with_lost_dependencies(&mut self) {
+        for id in self.jobs_with_lost_dependencies() {
+            let known = self.dependency_parts.take_known(&id);
+            let Some(spec) = self.jobs.get_mut(&id).and_then(|job| job.spec.as_mut()) else {
+                continue;
+            };
+            Rc::make_mut(spec).waits_on.extend(known);
+            let dependencies = spec.waits_on.clone();
+            let jobs = &self.jobs;
+            self.dependencies
+                .add_incomplete(&id, &dependencies, outcome_in(jobs));
+        }
+    }
+
     /// Returns the stored dependency parts whose jobs have no record. Once every change up to a revision has been
     /// applied, these are the parts of jobs whose records were deleted, as the parts are created together with the job.
     pub fn dependency_parts_without_job(&self) -> impl Iterator<Item = DependencyPartId> {
@@ -71,12 +112,8 @@
         if job.end.is_some() || job.lacks_dependency_parts {
             return;
         }
-        let jobs = &self.jobs;
-        let outcome = |dependency: &str| {
-            let job = jobs.get(dependency);
-            job.map_or(JobOutcome::Open, ReplicatedJob::outcome)
-        };
-        self.dependencies.add(id, &spec.waits_on, outcome);
+        self.dependencies
+            .add(id, &spec.waits_on, outcome_in(&self.jobs));
     }
 
     /// Returns the jobs that became ready, or were cancelled because a dependency was, since the last call. Updates
--- a/src/store/replica/dependency_parts.rs
+++ b/src/store/replica/dependency_parts.rs
@@ -67,20 +67,25 @@
 
     /// Takes out the ids in all parts of a job; None if one of its `count` parts is missing or can't be read.
     pub(super) fn take_all(&mut self, job: &str, count: u32) -> Option<Vec<String>> {
-        let parts = self.by_job.get_mut(job)?;
+        let parts = self.by_job.get(job)?;
         let is_available = |number| matches!(parts.get(&number), Some(DependencyPart::Unmerged(_)));
         if !(1..=count).all(is_available) {
             return None;
         }
+        Some(self.take_known(job))
+    }
+
+    /// Takes out the ids in those parts of a job that are stored and can be read.
+    pub(super) fn take_known(&mut self, job: &str) -> Vec<String> {
+        let parts = self.by_job.get_mut(job).into_iter().flatten();
         let mut ids = Vec::new();
-        for part in parts.values_mut() {
-            if let DependencyPart::Unmerged(part_ids) =
-                std::mem::replace(part, DependencyPart::Merged)
-            {
-                ids.extend(part_ids);
+        for (_, part) in parts {
+            if let DependencyPart::Unmerged(part_ids) = part {
+                ids.append(part_ids);
+                *part = DependencyPart::Merged;
             }
         }
-        Some(ids)
+        ids
     }
 
     /// Returns the parts that are stored, by job and number.
--- a/src/store/replica/tests/dependency_parts.rs
+++ b/src/store/replica/tests/dependency_parts.rs
@@ -1,6 +1,7 @@
 //! Dependency parts and the records of their jobs, in every order in which a load and a watch can deliver them.
 
 use super::raw;
+use crate::protocol::users::Submission;
 use crate::store::keys;
 use crate::store::records::{EndRecord, JobEnd, JobRecord};
 use crate::store::replica::{DependencyPartId, StateReplica};
@@ -82,6 +83,7 @@
             for index in &order[..read_in_load] {
                 put(&mut replica, &stored[*index], CREATED_AT);
             }
+            replica.set_consistent_from(CREATED_AT);
             replica.finish_load(0.0, 0);
             // The watch delivers the whole transaction, also what the load has read.
             for index in order {
@@ -92,6 +94,7 @@
             assert_eq!(*dependencies, PARTS.concat(), "{context}");
             assert!(replicated.is_blocked, "{context}");
             assert_eq!(parts_without_job(&replica), NONE, "{context}");
+            replica.advance_to(CREATED_AT);
             end(&mut replica, "j-3", JobEnd::Cancelled, CREATED_AT + 1);
             replica.take_readiness_changes(0.0);
             assert!(replica.jobs[JOB].dependency_cancelled, "{context}");
@@ -122,3 +125,34 @@
     replica.apply(&id.key(), None, CREATED_AT + 4);
     assert_eq!(parts_without_job(&replica), NONE);
 }
+
+/// An earlier version deleted parts of unfinished jobs. The job must not start, as a lost dependency may not be done, and
+/// must not be cancelled without a cancellation; but that of a dependency in a part that is left must reach it.
+#[test]
+fn a_job_with_lost_dependencies_stays_blocked_and_is_cancelled_with_those_that_are_left() {
+    for last_end in [JobEnd::Done, JobEnd::Cancelled] {
+        let mut replica = replica_with_dependencies();
+        for stored in [job_record(), part(1)] {
+            put(&mut replica, &stored, CREATED_AT);
+        }
+        let after = Submission {
+            waits_on: vec![JOB.into()],
+            ..job("j-10", 1)
+        };
+        let after = serde_json::to_string(&after).unwrap();
+        put(&mut replica, &(keys::job("j-10"), after), CREATED_AT + 1);
+        replica.advance_to(CREATED_AT + 1);
+        replica.finish_load(0.0, 0);
+        assert_eq!(replica.jobs_with_lost_dependencies(), [JOB.into()]);
+        end(&mut replica, "j-1", JobEnd::Done, CREATED_AT + 2);
+        end(&mut replica, "j-2", last_end, CREATED_AT + 3);
+        end(&mut replica, "j-3", JobEnd::Done, CREATED_AT + 4);
+        replica.take_readiness_changes(0.0);
+        let is_cancelled = last_end == JobEnd::Cancelled;
+        for id in [JOB, "j-10"] {
+            let replicated = &replica.jobs[id];
+            assert_eq!(replicated.dependency_cancelled, is_cancelled, "{id}");
+            assert_eq!(replicated.is_blocked, !is_cancelled, "{id}");
+        }
+    }
+}
