--- a/src/leader/transaction_outcomes.rs
+++ b/src/leader/transaction_outcomes.rs
@@ -104,7 +104,7 @@
             return AfterTransaction::ReadBack(own_key.clone());
         }
         for job in present_jobs {
-            tracing::error!(%job, "dependency part kept: its job has a record");
+            tracing::warn!(%job, "dependency part kept: its job has a record");
         }
         // A user's cancellation or an earlier copy of this transaction stored these ends; the replica will show how the
         // jobs ended.
