--- a/src/controller/replication.rs
+++ b/src/controller/replication.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// The pages of a listing of the store, which are read one after another while the store changes.
+#[derive(Default)]
+struct Listing {
+    /// The number of pages.
+    pages: u32,
+    /// The revision of the store at which the first page was read.
+    first_revision: u64,
+    /// The revision of the store at which the last page was read.
+    last_revision: u64,
+}
+
 impl Controller {
     /// Keeps the replica current: loads it, then watches the store until the replica must be loaded again.
     pub(super) async fn watch_state(self: Rc<Self>) {
@@ -79,41 +90,22 @@
 
     /// Reads all that is stored into a new replica.
     async fn load_replica(&self) -> Result<(), StoreError> {
-        let mut new_replica = self.empty_replica();
-        let mut after_key = String::new();
-        let mut first_revision = None;
-        let mut last_revision;
-        let mut pages = 0;
         let load_started_at = self.now();
-        loop {
-            let page = self.store.list(keys::ROOT, &after_key).await?;
-            pages += 1;
-            self.replication.record_store_contact(self.now());
-            first_revision.get_or_insert(page.revision);
-            last_revision = page.revision;
-            for item in &page.items {
-                new_replica.apply(&item.key, Some(&item.value), item.revision);
-            }
-            match page.items.last() {
-                Some(last) if page.truncated => after_key = last.key.clone(),
-                _ => break,
-            }
-        }
+        let mut new_replica = self.empty_replica();
+        let listing = self.read_all_pages(&mut new_replica).await?;
         // Changes made between the reads of two pages are delivered by the watch, which starts at the revision of the
         // first page.
-        new_replica.advance_to(first_revision.unwrap_or(0));
-        new_replica.set_consistent_from(last_revision);
+        new_replica.advance_to(listing.first_revision);
+        new_replica.set_consistent_from(listing.last_revision);
         let known_machine_types = self.replication.replica.borrow().machine_types.clone();
         new_replica.machine_types = new_replica.machine_types.or(known_machine_types);
         new_replica.finish_load(self.now(), self.runtime.unix_ms());
-        let jobs = new_replica.jobs.len();
-        let parts_without_job = new_replica.dependency_parts_without_job().count();
         tracing::info!(
-            revision = new_replica.revision,
-            last_revision,
-            pages,
-            jobs,
-            parts_without_job,
+            revision = listing.first_revision,
+            last_revision = listing.last_revision,
+            pages = listing.pages,
+            jobs = new_replica.jobs.len(),
+            parts_without_job = new_replica.dependency_parts_without_job().count(),
             "replica loaded"
         );
         let old_replica = self.replication.replica.replace(new_replica);
@@ -123,6 +115,28 @@
         Ok(())
     }
 
+    /// Applies every page of a listing of the store to a replica.
+    async fn read_all_pages(&self, replica: &mut StateReplica) -> Result<Listing, StoreError> {
+        let mut listing = Listing::default();
+        let mut after_key = String::new();
+        loop {
+            let page = self.store.list(keys::ROOT, &after_key).await?;
+            self.replication.record_store_contact(self.now());
+            if listing.pages == 0 {
+                listing.first_revision = page.revision;
+            }
+            listing.last_revision = page.revision;
+            listing.pages += 1;
+            for item in &page.items {
+                replica.apply(&item.key, Some(&item.value), item.revision);
+            }
+            match page.items.last() {
+                Some(last) if page.truncated => after_key = last.key.clone(),
+                _ => return Ok(listing),
+            }
+        }
+    }
+
     /// Brings everything that depends on the replica up to date after a load that replaced `old_replica`.
     fn on_replica_loaded(&self, old_replica: &StateReplica) {
         if self.quota.is_none() && self.replication.replica.borrow().has_quota_settings {
