Report jobs with lost dependencies as cancelled when the replica has caught up with its load

If a dependency that is left had been cancelled before, the job was called queued until the store changed again. Change: readiness changes are handled once more after a batch of events. Test: a_cancelled_dependency_reaches_a_job_with_lost_dependencies_after_a_load, seen to fail without it (left Queued, right Cancelled).

--- a/src/controller/replication/replica_events.rs
+++ b/src/controller/replication/replica_events.rs
@@ -27,6 +27,9 @@
             self.on_readiness_changes(&mut replica, leader.as_mut(), now);
         }
         replica.advance_to(events.revision);
+        // A replica that has caught up with its load knows which jobs have lost dependencies, and cancels those of
+        // which another dependency is cancelled.
+        self.on_readiness_changes(&mut replica, leader.as_mut(), now);
         drop(replica);
         self.prune_quota_attempts();
         self.replication.advanced.notify_all();
--- a/src/controller/tests/dependency_parts.rs
+++ b/src/controller/tests/dependency_parts.rs
@@ -8,7 +8,7 @@
 use crate::protocol::store::{Change, Txn};
 use crate::protocol::users::{JobState, Priority, Submission};
 use crate::store::keys;
-use crate::store::records::{EndRecord, JobEnd};
+use crate::store::records::{EndRecord, JobEnd, JobRecord};
 use crate::store::transaction::put_change;
 use crate::test_support::job;
 
@@ -217,3 +217,36 @@
         }
     });
 }
+
+/// A controller finds out that a job has lost dependencies only when it has caught up with its load. If a dependency that
+/// is left was cancelled before, the job must be reported as cancelled then, and not when the store changes next.
+#[test]
+fn a_cancelled_dependency_reaches_a_job_with_lost_dependencies_after_a_load() {
+    run_scenario(small_values, async |world: Rc<World>| {
+        start_cluster(&world, 2).await;
+        world.submit_until_accepted(0, &long_job("j-1000")).await;
+        world.cancel_until_confirmed(0, "j-1000").await;
+        let damaged = Submission {
+            waits_on: vec!["j-1000".into()],
+            ..long_job("j-2")
+        };
+        world.expect_submission(&damaged);
+        let record = JobRecord {
+            spec: long_job(&damaged.id),
+            submitted_unix_ms: None,
+            dependency_parts: 2,
+            charged_to: None,
+        };
+        let part = keys::dependency_part(&damaged.id, 1);
+        store_change(&world, put_change(keys::job(&damaged.id), &record).unwrap());
+        store_change(&world, put_change(part, &damaged.waits_on).unwrap());
+        world.run(10.0).await;
+        restart_and_read_first_page(&world, 1).await;
+        // A change between the pages.
+        world.submit_until_accepted(0, &long_job("j-1")).await;
+        wait_until_loaded(&world, 1).await;
+        world.run(1.0).await;
+        let answer = world.query(1, &damaged.id).await;
+        assert_eq!(answer, (200, Some(JobState::Cancelled)));
+    });
+}
