Log the leader's memory against its limit, with what it depends on

'memory of the leader' is now logged when a term's state has been built and each time resident memory reaches another tenth of the limit, from half of it on, with jobs, pending tasks, attempts and machines. No decision changes.

--- a/src/controller/leading/elections.rs
+++ b/src/controller/leading/elections.rs
@@ -9,6 +9,7 @@
 use crate::leader::Leader;
 use crate::leadership;
 use crate::leadership::{LeaderTerm, RenewalOutcome};
+use crate::memory::MemoryUse;
 use crate::peers::WorkerLocation;
 use crate::runtime::Time;
 
@@ -224,11 +225,30 @@
 
     /// Starts the leader's rounds and its calls to the cloud.
     fn start_leader(&self, leader: Leader) {
+        self.log_memory("leader state built", &leader);
         *self.leadership.leader.borrow_mut() = Some(leader);
         self.leadership.round_due.set();
         self.leadership.cloud_calls_due.set();
     }
 
+    /// Logs the memory of this process with the amounts of the leader's state that it depends on. `event` says when.
+    pub(super) fn log_memory(&self, event: &'static str, leader: &Leader) {
+        let memory = MemoryUse::read();
+        let state = leader.state_size();
+        tracing::info!(
+            event,
+            fencing_token = leader.fencing_token,
+            memory_mb = memory.map(|m| m.resident_mb.round()),
+            memory_peak_mb = memory.map(|m| m.peak_mb.round()),
+            memory_limit_mb = self.config.deployment.limits.ram_mb,
+            jobs = state.jobs,
+            pending_tasks = state.pending_tasks,
+            attempts = state.attempts,
+            machines = state.machines,
+            "memory of the leader"
+        );
+    }
+
     /// The workers that sent a heartbeat to any controller within the last lease duration of a worker: first those
     /// reported by other controllers, then those known here.
     fn known_workers(&self, now: Time) -> Vec<WorkerLocation> {
--- a/src/controller/leading/leader_loop.rs
+++ b/src/controller/leading/leader_loop.rs
@@ -9,6 +9,7 @@
     Controller, FLEET_INTERVAL_HEARTBEATS, FLEET_INTERVAL_S_MAX, STORE_BACKOFF_S,
 };
 use crate::leader::{AfterTransaction, Leader};
+use crate::memory::{MemoryLevels, MemoryUse};
 use crate::runtime::{Scope, Time};
 use crate::store::transaction::TxnOutcome;
 
@@ -42,6 +43,7 @@
         let direct_command_scope = Rc::new(Scope::new(&self.runtime));
         let mut maintained_at: Option<Time> = None;
         let mut round_s: f64 = 0.0;
+        let mut memory_levels = MemoryLevels::default();
         loop {
             self.wait_for_round(fleet_interval_s).await;
             let gap_s = ROUND_GAP_S.max(round_s * ROUND_GAP_FACTOR);
@@ -62,6 +64,7 @@
             }
             if maintains_fleet {
                 maintained_at = Some(now);
+                self.log_memory_if_rising(&mut memory_levels);
                 self.leadership.cloud_calls_due.set();
             }
             self.send_direct_commands(fencing_token, &direct_command_scope);
@@ -70,6 +73,17 @@
         }
     }
 
+    /// Logs the memory of this process when it rises to a higher share of the limit.
+    fn log_memory_if_rising(&self, levels: &mut MemoryLevels) {
+        let limit_mb = self.config.deployment.limits.ram_mb;
+        let leader = self.leadership.leader.borrow();
+        if let (Some(memory), Some(leader)) = (MemoryUse::read(), leader.as_ref())
+            && levels.rises(memory.resident_mb, limit_mb)
+        {
+            self.log_memory("memory rises", leader);
+        }
+    }
+
     /// Waits until a round is due: something changed, a write is due, or the fleet must be maintained.
     async fn wait_for_round(&self, fleet_interval_s: f64) {
         let now = self.now();
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -83,6 +83,19 @@
     pub unix_ms_at_time_zero: Option<u64>,
 }
 
+/// Amounts of state that the leader's memory depends on, for the log.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StateSize {
+    /// Jobs whose records are stored.
+    pub(crate) jobs: usize,
+    /// Tasks of unfinished jobs that are on no machine and not done.
+    pub(crate) pending_tasks: u64,
+    /// Attempts that are or may be on machines.
+    pub(crate) attempts: usize,
+    /// Machines that the leader knows.
+    pub(crate) machines: usize,
+}
+
 /// The leader's share of the state service's write rate; the rest is for users' requests.
 pub const LEADER_WRITE_SHARE: f64 = 0.5;
 /// The number of an attempt consists of the fencing token and, in this many low bits, a counter.
@@ -150,6 +163,17 @@
         self.fleet.record_pause(pause);
     }
 
+    /// The amounts of state that the leader's memory depends on.
+    pub(crate) fn state_size(&self) -> StateSize {
+        let unfinished = || self.jobs.values().filter(|job| job.end.is_none());
+        StateSize {
+            jobs: self.jobs.values().count(),
+            pending_tasks: unfinished().map(|job| u64::from(job.pending_tasks())).sum(),
+            attempts: self.fleet.machines.values().map(|m| m.attempts.len()).sum(),
+            machines: self.fleet.machines.len(),
+        }
+    }
+
     /// The index of the job with this id. None if the job is unknown, for example because its records are deleted.
     pub fn job_index(&self, id: &str) -> Option<JobIndex> {
         self.jobs.index_of(id)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! The routines of [`controller`] do the input and output around the core: they call the state service, the cloud and
 //! the workers, and answer requests. They use `leadership` (election and lease), `peers` (heartbeats between
 //! controllers), `protocol` (messages), `http` and `runtime` (event loop, timers, sockets). [`config`] reads the
-//! configuration files. `resources` defines amounts of CPUs, GPUs and memory.
+//! configuration files. `resources` defines amounts of CPUs, GPUs and memory of tasks; `memory` reads what this process holds.
 
 #![warn(missing_docs)]
 #![cfg_attr(not(test), warn(clippy::too_many_lines))]
@@ -25,6 +25,7 @@
 pub(crate) mod jobs;
 pub(crate) mod leader;
 pub(crate) mod leadership;
+pub(crate) mod memory;
 pub(crate) mod peers;
 pub(crate) mod protocol;
 pub(crate) mod resources;
