--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of the sans-I/O state machines: no network, no disk, and a simulated clock.
 
+mod allocation_meter;
 mod dependency_graph_examples;
 mod dependency_graphs;
 mod large_fleet;
+mod memory;
 pub(crate) mod production;
 mod random_faults;
 mod scenarios;
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -22,7 +22,7 @@
 }
 
 const RUN: &str = "test a::one ... FAILED\ntest a::two ... ok\ntest result: FAILED. 1 passed\n";
-const LIST: &str = "a::one; the cause; issue 17\n";
+const LIST: &str = "a::one; cargo test one, seed 1; it hangs; issue 17\n";
 
 #[test]
 fn only_listed_tests_may_fail_and_they_must() {
@@ -30,12 +30,15 @@
     let two_failures = RUN.replace("two ... ok", "two ... FAILED");
     assert!(!passes(LIST, &two_failures));
     assert!(passes(
-        &format!("{LIST}a::two; another; issue 2\n"),
+        &format!("{LIST}a::two; cargo test two, no seed; it panics; issue 2\n"),
         &two_failures
     ));
     let no_failure = RUN.replace("FAILED\ntest a", "ok\ntest a");
     assert!(!passes(LIST, &no_failure));
-    assert!(!passes("a::three; no such test; issue 17\n", RUN));
+    assert!(!passes(
+        "a::three; cargo test three; no such test; issue 17\n",
+        RUN
+    ));
     assert!(!passes(LIST, "error: could not compile `x`\n"));
     assert!(!passes(LIST, ""));
     // A test binary that crashes prints no result line. The script must not accept the run.
@@ -49,10 +52,14 @@
     assert!(!passes("", RUN));
     for line in [
         "a::one",
-        "a::one; the cause",
-        "a::one; ; issue 17",
-        "a::one; the cause; issue",
-        "; the cause; issue 17",
+        "a::one; cargo test one",
+        "a::one; cargo test one; issue 17",
+        "a::one; cargo test one; it hangs",
+        "a::one; ; it hangs; issue 17",
+        "a::one; cargo test one; ; issue 17",
+        "a::one; cargo test one; it hangs; issue",
+        "a::one; cargo test one; it hangs; and more; issue 17",
+        "; cargo test one; it hangs; issue 17",
     ] {
         assert!(!passes(&format!("{line}\n"), RUN), "{line}");
     }
@@ -64,7 +71,7 @@
     let list = |count| -> String {
         let lines = names[..count]
             .iter()
-            .map(|name| format!("{name}; the cause; issue 17\n"));
+            .map(|name| format!("{name}; cargo test {name}; it hangs; issue 17\n"));
         lines.collect()
     };
     assert!(!passes(&list(4), &run));
