Bound a scaling pass by pools and machines, not by the machines that it would rent

What callers saw: a leader ends within a second of its election when large arrays wait, and the next one likewise.

Cause: a pass made a capacity unit and a queue entry (with its log line) for each machine and request that demand asks for, whether any cloud has them or not: 900,000 tasks of 30 CPUs on 8- to 64-CPU machines are hundreds of thousands of them. The first pass runs at the election.

Equal machines to be rented are now one unit with a count, split only where a class takes a part of them. A queued rental makes its requests one by one, under the names that they had before. Very large plans choose a pool for a share of the machines instead of for each 50, so a pass takes a few hundred steps at most; plans for up to 3,200 machines choose as before.

'renting machines' is logged once a pool with the count of all.

--- a/src/autoscaler/capacity_units.rs
+++ b/src/autoscaler/capacity_units.rs
@@ -10,10 +10,13 @@
 use crate::protocol::users::Priority;
 use crate::resources::Resources;
 
-/// A machine in one scaling pass: up, booting or to be rented.
+/// A machine in one scaling pass: up, booting or to be rented. Equal machines to be rented are one unit.
+#[derive(Clone)]
 pub(crate) struct CapacityUnit {
     /// The machine's index. None if it is still to be rented.
     pub(crate) machine_index: Option<MachineIndex>,
+    /// The number of machines, each with the amounts below: 1 unless they are still to be rented.
+    pub(super) machine_count: u32,
     /// The machine type, and whether it is a spot machine.
     pub(super) option: MachineOption,
     pub(super) zone: Rc<str>,
@@ -42,6 +45,19 @@
         self.planned_role == Some(MachineRole::Large)
     }
 
+    /// Keeps the first `machine_count` machines and returns the others. None if there are no others.
+    pub(super) fn split_off(&mut self, machine_count: u32) -> Option<Self> {
+        let others = self.machine_count.saturating_sub(machine_count);
+        if others == 0 {
+            return None;
+        }
+        self.machine_count = machine_count;
+        Some(CapacityUnit {
+            machine_count: others,
+            ..self.clone()
+        })
+    }
+
     /// The order of allocation: the lowest price first, then machines that are up, then the most used.
     fn preference(&self, other: &Self) -> Ordering {
         self.unit_price
@@ -81,6 +97,7 @@
         let unfinished = machine.attempts.iter().filter(|(_, a)| !a.completed);
         Some(CapacityUnit {
             machine_index: Some(index),
+            machine_count: 1,
             option: MachineOption {
                 type_index,
                 spot: machine.spot,
--- a/src/autoscaler/cloud.rs
+++ b/src/autoscaler/cloud.rs
@@ -70,6 +70,45 @@
     Machines,
 }
 
+/// Machines to be rented from one pool for one role, by as many requests as the cloud's limit requires. The requests are
+/// made one by one: a plan may be for many more machines than any cloud has.
+#[derive(Debug)]
+struct QueuedRental {
+    /// The fencing token of this term, a part of the requests' names.
+    fencing_token: u64,
+    /// The number of the next request, a part of its name.
+    next_number: u64,
+    type_name: String,
+    zone: String,
+    spot: bool,
+    role: MachineRole,
+    /// Machines for which no request has been answered.
+    remaining: u32,
+}
+
+impl QueuedRental {
+    fn next_count(&self) -> u32 {
+        self.remaining.min(MACHINES_PER_RENT_MAX)
+    }
+
+    /// The next request. The same one is returned until [`Self::on_answered`] is called.
+    fn next_request(&self) -> RentRequest {
+        RentRequest {
+            request: format!("r-{}-{}", self.fencing_token, self.next_number),
+            type_name: self.type_name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            count: self.next_count(),
+        }
+    }
+
+    /// Records that the next request has been answered, whether it was served or refused.
+    fn on_answered(&mut self) {
+        self.remaining -= self.next_count();
+        self.next_number += 1;
+    }
+}
+
 /// The leader's view of the cloud: queued calls, exhausted pools and returned machines.
 #[derive(Debug)]
 pub struct CloudState {
@@ -77,8 +116,8 @@
     pub(super) pool_backoffs: BTreeMap<PoolKey, PoolBackoff>,
     /// The number of the last rental request. Names of requests are never reused.
     last_request_number: u64,
-    /// Rental requests without an answer. The first one may have been sent already.
-    queued_rentals: VecDeque<(RentRequest, MachineRole)>,
+    /// Rentals without an answer. The next request of the first one may have been sent already.
+    queued_rentals: VecDeque<QueuedRental>,
     /// Machines to be returned.
     queued_returns: Vec<MachineIndex>,
     /// Names of returned machines: a late list page or heartbeat may still show them.
@@ -129,8 +168,8 @@
             }
             self.queued_returns.clear();
         }
-        if let Some((rent, role)) = self.queued_rentals.front() {
-            return Some(CloudCall::Rent(rent.clone(), *role));
+        if let Some(rental) = self.queued_rentals.front() {
+            return Some(CloudCall::Rent(rental.next_request(), rental.role));
         }
         if let Some(after) = &self.list_continuation {
             return Some(CloudCall::List {
@@ -193,35 +232,42 @@
         catalog: &MachineCatalog,
         fencing_token: u64,
     ) {
-        for (rental, total) in rentals {
-            let mut remaining = total;
-            while remaining > 0 {
-                let count = remaining.min(MACHINES_PER_RENT_MAX);
-                remaining -= count;
-                self.last_request_number += 1;
-                let rent = RentRequest {
-                    request: format!("r-{fencing_token}-{}", self.last_request_number),
-                    type_name: catalog[rental.pool.type_index].name.clone(),
-                    zone: rental.pool.zone.to_string(),
-                    spot: rental.pool.spot,
-                    count,
-                };
-                tracing::info!(
-                    request = %rent.request,
-                    machine_type = %rent.type_name,
-                    zone = %rent.zone,
-                    spot = rent.spot,
-                    count,
-                    "renting machines"
-                );
-                self.queued_rentals.push_back((rent, rental.role));
+        for (rental, machine_count) in rentals {
+            let rental = QueuedRental {
+                fencing_token,
+                next_number: self.last_request_number + 1,
+                type_name: catalog[rental.pool.type_index].name.clone(),
+                zone: rental.pool.zone.to_string(),
+                spot: rental.pool.spot,
+                role: rental.role,
+                remaining: machine_count,
+            };
+            if rental.remaining == 0 {
+                continue;
             }
+            let requests = machine_count.div_ceil(MACHINES_PER_RENT_MAX);
+            self.last_request_number += u64::from(requests);
+            tracing::info!(
+                request = %rental.next_request().request,
+                requests,
+                machine_type = %rental.type_name,
+                zone = %rental.zone,
+                spot = rental.spot,
+                count = machine_count,
+                "renting machines"
+            );
+            self.queued_rentals.push_back(rental);
         }
     }
 
     /// Removes the first queued rental request, which has been answered.
     pub(crate) fn dequeue_rental(&mut self) {
-        self.queued_rentals.pop_front();
+        if let Some(rental) = self.queued_rentals.front_mut() {
+            rental.on_answered();
+            if rental.remaining == 0 {
+                self.queued_rentals.pop_front();
+            }
+        }
     }
 
     /// Records that a pool refused machines, and drops the other queued requests to the pool. Otherwise several hundred
@@ -234,7 +280,7 @@
         catalog: &MachineCatalog,
         now: Time,
     ) {
-        self.queued_rentals.retain(|(queued, _)| {
+        self.queued_rentals.retain(|queued| {
             (&queued.type_name, &queued.zone, queued.spot)
                 != (&rent.type_name, &rent.zone, rent.spot)
         });
--- a/src/autoscaler/coverage.rs
+++ b/src/autoscaler/coverage.rs
@@ -40,8 +40,8 @@
             && unit.planned_role.is_none_or(|role| role == self.role)
     }
 
-    /// Allocates the free capacity of a machine to the class, up to its uncovered demand.
-    fn allocate(&self, class: &JobClass, unit: &mut CapacityUnit, uncovered: &mut Demand) {
+    /// How many tasks of the uncovered demand a machine is allocated to; 0 if the demand or the machine has no more.
+    fn tasks_for(&self, class: &JobClass, unit: &CapacityUnit, uncovered: &Demand) -> f64 {
         let demanded_tasks = if unit.unit_price <= self.low_price_limit {
             uncovered.at_low_price
         } else {
@@ -49,12 +49,47 @@
         };
         let fitting_tasks = tasks_that_fit(class.task_resources, unit.free);
         if demanded_tasks <= TASKS_EPSILON || fitting_tasks < 1.0 {
-            return;
+            return 0.0;
         }
-        let tasks = fitting_tasks.min(demanded_tasks);
+        fitting_tasks.min(demanded_tasks)
+    }
+
+    /// Allocates the free capacity of a unit's machines to the class, up to its uncovered demand. If the machines are no
+    /// longer equal, the unit keeps those at its front, and the others are returned: they are next to be allocated.
+    fn allocate(
+        &self,
+        class: &JobClass,
+        unit: &mut CapacityUnit,
+        uncovered: &mut Demand,
+    ) -> Option<CapacityUnit> {
+        let tasks = self.tasks_for(class, unit, uncovered);
+        if tasks <= 0.0 {
+            return None;
+        }
+        let equal_machines = self.allocate_equally(class, unit, tasks, uncovered);
+        let rest = unit.split_off(equal_machines);
         unit.free = unit.free.minus(class.task_resources.times(tasks));
         unit.planned_role = Some(self.role);
+        rest
+    }
+
+    /// Allocates `tasks` on each machine of a unit as long as the demand allows; returns on how many machines, at least
+    /// one.
+    fn allocate_equally(
+        &self,
+        class: &JobClass,
+        unit: &CapacityUnit,
+        tasks: f64,
+        uncovered: &mut Demand,
+    ) -> u32 {
+        for machines in 1..unit.machine_count {
+            uncovered.subtract(tasks);
+            if self.tasks_for(class, unit, uncovered) != tasks {
+                return machines;
+            }
+        }
         uncovered.subtract(tasks);
+        unit.machine_count
     }
 
     /// The round in which a class may use a machine. Machines that run tasks of the same size (large or small) come
@@ -137,11 +172,14 @@
     ) {
         let large_share = self.inputs.config.tunables.large_share;
         for round in 0..ALLOCATION_ROUNDS {
-            for unit in &mut self.units {
+            let mut position = 0;
+            while let Some(unit) = self.units.get_mut(position) {
+                position += 1;
                 if requirements.allocation_round(class, unit, large_share) == Some(round)
                     && requirements.allows(class, unit)
+                    && let Some(rest) = requirements.allocate(class, unit, uncovered)
                 {
-                    requirements.allocate(class, unit, uncovered);
+                    self.units.insert(position, rest);
                 }
             }
         }
--- a/src/autoscaler/exceptions.rs
+++ b/src/autoscaler/exceptions.rs
@@ -88,10 +88,11 @@
         }
         for unit in self.units.iter().filter(|u| options.contains(&u.option)) {
             if let Some(zone_capacity) = capacity.get_mut(&*unit.zone) {
-                *zone_capacity += tasks_that_fit(
+                let tasks_on_each = tasks_that_fit(
                     job.task_resources(),
                     catalog.capacity(unit.option.type_index),
                 );
+                *zone_capacity += tasks_on_each * f64::from(unit.machine_count);
             }
         }
         capacity
--- a/src/autoscaler/rentals.rs
+++ b/src/autoscaler/rentals.rs
@@ -10,6 +10,15 @@
 use crate::fleet::machine_catalog::MachineOption;
 use crate::resources::tasks_that_fit;
 
+/// A plan for more machines than this many requests is made of larger steps, so that the number of steps stays small.
+const REQUESTS_PER_STEP_MAX: f64 = 64.0;
+
+/// The number of machines after which the next pool is chosen: those of one request to the cloud, or a share of a very
+/// large plan.
+fn batch_limit(machines_needed: f64) -> u32 {
+    MACHINES_PER_RENT_MAX.max((machines_needed / REQUESTS_PER_STEP_MAX) as u32)
+}
+
 /// A pool that machines could be rented from.
 struct PoolOffer {
     pool: PoolKey,
@@ -79,34 +88,34 @@
         offer: PoolOffer,
         uncovered: &mut Demand,
     ) {
+        let machines_needed = (tasks / offer.tasks_per_machine).ceil();
         let limit = offer
             .rental_limit
             .unwrap_or(u32::MAX)
-            .min(MACHINES_PER_RENT_MAX);
-        let machine_count = (tasks / offer.tasks_per_machine)
-            .ceil()
-            .min(f64::from(limit)) as u32;
+            .min(batch_limit(machines_needed));
+        let machine_count = machines_needed.min(f64::from(limit)) as u32;
         let pool = offer.pool;
         let capacity = self.inputs.catalog.capacity(pool.type_index);
         let unit_price = self.inputs.catalog.unit_price(pool.type_index, pool.spot);
         let tasks_on_each = offer.tasks_per_machine.min(tasks);
+        self.units.push(CapacityUnit {
+            machine_index: None,
+            machine_count,
+            option: MachineOption {
+                type_index: pool.type_index,
+                spot: pool.spot,
+            },
+            zone: pool.zone.clone(),
+            free: capacity.minus(class.task_resources.times(tasks_on_each)),
+            unit_price,
+            used_share: 0.0,
+            is_up: false,
+            runs_large_tasks: false,
+            runs_small_tasks: false,
+            highest_priority: None,
+            planned_role: Some(role),
+        });
         for _ in 0..machine_count {
-            self.units.push(CapacityUnit {
-                machine_index: None,
-                option: MachineOption {
-                    type_index: pool.type_index,
-                    spot: pool.spot,
-                },
-                zone: pool.zone.clone(),
-                free: capacity.minus(class.task_resources.times(tasks_on_each)),
-                unit_price,
-                used_share: 0.0,
-                is_up: false,
-                runs_large_tasks: false,
-                runs_small_tasks: false,
-                highest_priority: None,
-                planned_role: Some(role),
-            });
             uncovered.subtract(tasks_on_each);
         }
         *self.rentals.entry(RentalKey { pool, role }).or_insert(0) += machine_count;
