Keep no state for the waiting tasks of an array

Cause: a job's table had an entry of 32 bytes for each task from the start of a term, 3.2 MB for an array of 100,000, whether the job waits, is blocked or has ended. Tasks are taken in ascending order, so the table now begins empty and grows to the highest task that was ever assigned or done; the tasks after it are pending.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -58,6 +58,7 @@
     /// Number of additional values in the store that hold ids of the job's dependencies, because the size of a value is
     /// limited.
     pub dependency_parts: u32,
+    /// The states of the tasks with the lowest numbers. Those after them are pending: a waiting task takes no memory.
     tasks: Vec<Task>,
     /// The tasks from this number on have never been taken for placement.
     next_unplaced: u32,
@@ -97,7 +98,7 @@
         Job {
             id,
             class: class_key(&spec).into(),
-            tasks: vec![Task::Pending; spec.tasks as usize],
+            tasks: Vec::new(),
             spec,
             team,
             acceptance_order,
@@ -145,7 +146,17 @@
 
     /// Returns the state of a task.
     pub fn task(&self, task: u32) -> Task {
-        self.tasks[task as usize]
+        let known = self.tasks.get(task as usize).copied();
+        known.unwrap_or(Task::Pending)
+    }
+
+    /// Sets the state of a task.
+    fn set_task(&mut self, task: u32, state: Task) {
+        let position = task as usize;
+        if position >= self.tasks.len() {
+            self.tasks.resize(position + 1, Task::Pending);
+        }
+        self.tasks[position] = state;
     }
 
     /// Returns the machine that a task may be on with this attempt. None if the task is not assigned with it.
@@ -186,18 +197,19 @@
         attempt: u64,
         recorded_by: Option<RecordNumber>,
     ) {
-        self.tasks[task as usize] = Task::Assigned {
+        let state = Task::Assigned {
             machine,
             attempt,
             recorded_by,
         };
+        self.set_task(task, state);
         self.assigned_tasks += 1;
     }
 
     /// Makes an assigned task pending again. It must be certain that the task doesn't run on its machine.
     pub fn release(&mut self, task: u32) {
         if let Task::Assigned { .. } = self.task(task) {
-            self.tasks[task as usize] = Task::Pending;
+            self.set_task(task, Task::Pending);
             self.assigned_tasks -= 1;
             self.requeued.push(task);
         }
@@ -210,7 +222,7 @@
             Task::Assigned { .. } => self.assigned_tasks -= 1,
             Task::Pending => {}
         }
-        self.tasks[task as usize] = Task::Done { recorded_by };
+        self.set_task(task, Task::Done { recorded_by });
         self.done_tasks += 1;
     }
 
@@ -234,7 +246,10 @@
 
     /// Records that an assignment record with this state of a task was stored. Ignored if the state has changed since.
     pub fn on_recorded(&mut self, task: u32, state: LoggedState, number: RecordNumber) {
-        match (&mut self.tasks[task as usize], state) {
+        let Some(known) = self.tasks.get_mut(task as usize) else {
+            return;
+        };
+        match (known, state) {
             (
                 Task::Assigned {
                     attempt,
