Bound the attempts that a leader decides by its memory, its write rate and the workers' heartbeats

What callers saw: a leader ends soon after its election, or when an array of tiny tasks arrives; its rental requests are small and the store holds little.

Cause: a scheduling pass placed as many tasks as machines have resources for. Each costs about 250 bytes in the leader's state, the replica and the log, whatever the process may hold: 900,000 tiny tasks fit onto 100 machines. Two paths had the same flaw: a machine got more tasks than its heartbeat can list in 64 KiB, so that its worker's lease would run out with all of them; and the assignments that wait to be stored grew without bound, in front of those of other jobs.

A pass now places at most what 0.4 of the memory limit holds (72 MB: 112,500 attempts). An array's share falls as more are in use, so that some are left for the next job. A machine holds at most the 551 attempts that a heartbeat can list, and tiny tasks leave a sixteenth of them to others. At most what can be written in two seconds waits to be stored; a pass follows when some was stored. A job whose tasks did not all fit into a transaction queues up behind the other jobs again.

assignments_of_the_largest_array_are_stored_under_small_limits put 10,000 tasks on each of 10 machines, whose heartbeats would have been over 700 KB: more than the protocol allows. It now uses 300 machines with heartbeats and passes as they come, the same array, limits and bound on time. The machines' names are 28 characters long instead of 108: with 30 times the machines, each record holds names for a few tasks, and at 108 characters the limits leave no room to store 100,000 assignments in that time.

--- a/src/leader/assignment_writes.rs
+++ b/src/leader/assignment_writes.rs
@@ -138,6 +138,8 @@
                     continue;
                 }
                 pending.tasks.drain(..position);
+                // The other jobs' tasks go first: a large job's are never all written while more of them are placed.
+                pending.due = pending.due.max(now);
                 self.pending.insert(index, pending);
                 break 'jobs;
             }
--- a/src/leader/scheduling.rs
+++ b/src/leader/scheduling.rs
@@ -15,7 +15,11 @@
             return;
         }
         let borrowing_priority_limit = |type_index| self.borrowing_priority_limit(type_index);
-        let mut pass = SchedulingPass::new(&self.scheduling_view(now), borrowing_priority_limit);
+        let mut pass = SchedulingPass::new(
+            &self.scheduling_view(now),
+            self.writer.unstored_tasks(),
+            borrowing_priority_limit,
+        );
         if pass.has_no_candidates() {
             return;
         }
@@ -28,6 +32,7 @@
                 self.dequeue(index);
             }
         }
+        self.scheduler.waits_for_writes = pass.waits_for_writes();
     }
 
     /// The waiting jobs in the order in which they are placed.
--- a/src/leader/state_writer.rs
+++ b/src/leader/state_writer.rs
@@ -115,6 +115,12 @@
         pending.tasks.push(task);
     }
 
+    /// Returns the number of task states that wait to be put into a transaction.
+    pub(super) fn unstored_tasks(&self) -> usize {
+        let pending = self.pending.values();
+        pending.map(|pending| pending.tasks.len()).sum()
+    }
+
     /// Schedules the write of a job's end, and drops the pending writes of its tasks: the end makes them superfluous.
     pub(super) fn mark_ended(&mut self, index: JobIndex) {
         self.pending.remove(&index);
--- a/src/leader/transaction_outcomes.rs
+++ b/src/leader/transaction_outcomes.rs
@@ -59,6 +59,9 @@
             TxnOutcome::Applied(revision) => {
                 self.writer.budget.on_applied();
                 self.on_applied(revision, now);
+                if std::mem::take(&mut self.scheduler.waits_for_writes) {
+                    self.request_scheduling_pass();
+                }
                 AfterTransaction::Continue
             }
             TxnOutcome::Unknown | TxnOutcome::Refused => {
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -2,8 +2,8 @@
 
 /// Bytes in a megabyte, as the limit in the settings counts.
 pub(crate) const BYTES_PER_MB: f64 = 1e6;
-/// Bytes in the unit of `/proc/self/status`.
-const BYTES_PER_KIB: f64 = 1024.0;
+/// Bytes in a kibibyte, the unit of `/proc/self/status` and of the limit on stored values.
+pub(crate) const BYTES_PER_KIB: f64 = 1024.0;
 /// The lowest share of the limit at which memory use is logged.
 const LOGGED_SHARE_MIN: f64 = 0.5;
 /// Shares of the limit between two logged levels of memory use.
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -7,6 +7,7 @@
 //! the allowed machines ([`candidates`]) a task gets.
 
 mod arrays;
+mod attempt_limits;
 pub(crate) mod candidate_queue;
 mod candidates;
 mod gangs;
@@ -38,6 +39,8 @@
     pub(crate) waiting_jobs: BTreeSet<JobIndex>,
     /// Whether a scheduling pass should run because of a change since the last one.
     pub(crate) scheduling_pass_requested: bool,
+    /// Whether the last pass left tasks unplaced because too many decisions wait to be stored.
+    pub(crate) waits_for_writes: bool,
     /// The fraction of the schedulable machines that have or fetch each image, as of the last update.
     pub(crate) image_prevalence: ImagePrevalence,
 }
@@ -49,6 +52,7 @@
             pricing_rule: PricingRule::new(tunables.rho, tunables.large_share),
             waiting_jobs: BTreeSet::new(),
             scheduling_pass_requested: true,
+            waits_for_writes: false,
             image_prevalence: ImagePrevalence::default(),
         }
     }
--- a/src/scheduler/arrays.rs
+++ b/src/scheduler/arrays.rs
@@ -12,10 +12,11 @@
 const GAP_TASK_SHARE_MAX: f64 = 0.125;
 
 impl SchedulingView<'_> {
-    /// Chooses machines for as many of an array's pending tasks as possible, within its team's limit.
+    /// Chooses machines for as many of an array's pending tasks as possible, at most `tasks_max`, within its team's limit.
     pub(super) fn place_array(
         &self,
         index: JobIndex,
+        tasks_max: u32,
         candidates: &mut [CandidateMachine],
     ) -> Placement {
         let job = &self.jobs[&index];
@@ -24,7 +25,7 @@
         let mut zones = ZoneConstraint::new(&job.spec, self.tasks_by_zone(index));
         let mut queue = self.candidate_queue(job, candidates, |_| true);
         let mut placement = Placement::default();
-        for _ in 0..job.pending_tasks() {
+        for _ in 0..job.pending_tasks().min(tasks_max) {
             if !self.is_within_team_limit(&usage, job.team, resources) {
                 return placement;
             }
--- /dev/null
+++ b/src/scheduler/attempt_limits.rs
@@ -0,0 +1,112 @@
+//! Limits on the attempts that may be on machines: the leader's memory bounds their total, the size of a worker's
+//! heartbeat their number on one machine, and the state service's write rate those that are not stored yet.
+
+use crate::config::Deployment;
+use crate::fleet::Fleet;
+use crate::http::BODY_BYTES_MAX;
+use crate::leader::LEADER_WRITE_SHARE;
+use crate::memory::{BYTES_PER_KIB, BYTES_PER_MB};
+use crate::resources::{Resources, tasks_that_fit};
+
+/// Memory of an attempt in the leader's state, the replica and the assignment log together, in bytes.
+const ATTEMPT_BYTES: f64 = 256.0;
+/// The share of the process's memory that attempts may take.
+const ATTEMPTS_MEMORY_SHARE: f64 = 0.4;
+/// Maximum size of an attempt in a heartbeat, in bytes: with the longest job id, task and attempt number, and cause.
+const HEARTBEAT_ENTRY_BYTES_MAX: usize = 117;
+/// Maximum size of the rest of a heartbeat, in bytes.
+const HEARTBEAT_HEADER_BYTES_MAX: usize = 1024;
+/// The maximum number of attempts on a machine. A heartbeat that lists them all fits into a request.
+pub(super) const ATTEMPTS_PER_MACHINE_MAX: usize =
+    (BODY_BYTES_MAX - HEARTBEAT_HEADER_BYTES_MAX) / HEARTBEAT_ENTRY_BYTES_MAX;
+/// Attempts on each machine that are left to other tasks by tiny ones, of which a machine could hold more than its limit:
+/// such a machine has free resources, so none is rented in its place.
+const ATTEMPTS_LEFT_BY_TINY_TASKS: u32 = ATTEMPTS_PER_MACHINE_MAX as u32 / 16;
+/// A job may have this many attempts for each one that is still free for all jobs. The more are in use, the fewer a
+/// single job may have, so that some are always left for the next job.
+const ATTEMPTS_PER_FREE_ATTEMPT: u32 = 2;
+/// Typical size of an assignment in an assignment record, in bytes.
+const STORED_ASSIGNMENT_BYTES: f64 = 32.0;
+/// Time in which the assignments that are not stored yet can be written, in seconds. A launch waits for the assignments
+/// that were decided before it.
+const UNSTORED_ASSIGNMENTS_S: f64 = 2.0;
+/// Lower bound of the assignments that may wait to be stored.
+const UNSTORED_ASSIGNMENTS_MIN: f64 = 100.0;
+
+/// The attempts that may still be added in one scheduling pass.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FreeAttempts {
+    /// What memory allows.
+    in_memory: u32,
+    /// What can be stored soon.
+    to_be_stored: u32,
+}
+
+impl FreeAttempts {
+    /// What the limits leave beside the attempts that are or may be on machines and the `unstored` task states.
+    pub(super) fn new(deployment: &Deployment, fleet: &Fleet, unstored: usize) -> Self {
+        let machines = fleet.machines.values();
+        let in_use = machines.map(|machine| machine.attempts.len()).sum();
+        FreeAttempts {
+            in_memory: saturating_difference(attempts_max(deployment), in_use),
+            to_be_stored: saturating_difference(unstored_max(deployment), unstored),
+        }
+    }
+
+    /// How many tasks of an array may be placed beside its attempts that are or may be on machines already.
+    pub(super) fn for_array(&self, live_attempts: u32) -> u32 {
+        // Placing n more leaves `in_memory - n`, and `live_attempts + n` must stay within its multiple.
+        let allowed = self.in_memory.saturating_mul(ATTEMPTS_PER_FREE_ATTEMPT);
+        let in_memory = allowed.saturating_sub(live_attempts) / (ATTEMPTS_PER_FREE_ATTEMPT + 1);
+        in_memory.min(self.to_be_stored)
+    }
+
+    /// Whether all tasks of a gang may be placed. They are placed at once, even if they can't all be stored soon.
+    pub(super) fn suffice_for_gang(&self, tasks: u32) -> bool {
+        tasks <= self.in_memory && self.to_be_stored > 0
+    }
+
+    /// Takes the attempts of tasks that were placed.
+    pub(super) fn take(&mut self, placed: usize) {
+        self.in_memory = saturating_difference(self.in_memory, placed);
+        self.to_be_stored = saturating_difference(self.to_be_stored, placed);
+    }
+
+    /// Whether no more tasks are placed before some are stored.
+    pub(super) fn wait_for_writes(&self) -> bool {
+        self.to_be_stored == 0
+    }
+}
+
+fn saturating_difference(limit: u32, used: usize) -> u32 {
+    limit.saturating_sub(u32::try_from(used).unwrap_or(u32::MAX))
+}
+
+/// Whether a machine that may hold `free_attempts` more attempts may get a task of this demand, as far as their number
+/// goes.
+pub(super) fn may_add_attempt(demand: Resources, capacity: Resources, free_attempts: u32) -> bool {
+    let is_tiny = tasks_that_fit(demand, capacity) > ATTEMPTS_PER_MACHINE_MAX as f64;
+    let left_to_others = if is_tiny {
+        ATTEMPTS_LEFT_BY_TINY_TASKS
+    } else {
+        0
+    };
+    free_attempts > left_to_others
+}
+
+/// The maximum number of attempts on all machines.
+fn attempts_max(deployment: &Deployment) -> u32 {
+    let bytes = deployment.limits.ram_mb * BYTES_PER_MB * ATTEMPTS_MEMORY_SHARE;
+    (bytes / ATTEMPT_BYTES) as u32
+}
+
+/// The maximum number of task states that wait to be stored.
+fn unstored_max(deployment: &Deployment) -> u32 {
+    let state = &deployment.state;
+    let bytes_per_s = state.write_rps * LEADER_WRITE_SHARE * state.value_kb * BYTES_PER_KIB;
+    let assignments_per_s = bytes_per_s / STORED_ASSIGNMENT_BYTES;
+    (assignments_per_s * UNSTORED_ASSIGNMENTS_S).max(UNSTORED_ASSIGNMENTS_MIN) as u32
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/scheduler/candidate_queue.rs
+++ b/src/scheduler/candidate_queue.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use crate::resources::Resources;
+use crate::scheduler::attempt_limits::may_add_attempt;
 use crate::scheduler::pricing::{MachineLoad, PricingRule};
 
 /// The tier of a machine. Tiers take precedence over prices. The lowest tier comes first; fields are compared in this
@@ -128,7 +129,7 @@
         self.has_slow_fetch
     }
 
-    /// Adds a machine unless the pricing rule refuses it. `unit_price` is its rental price per CPU and must be
+    /// Adds a machine unless it may hold no more tasks of this demand, or the pricing rule refuses it. `unit_price` is its rental price per CPU and must be
     /// positive. `wait_level_once_requested` replaces [`CandidateTier::image_wait_level`] after the first task is
     /// placed there, since that task has then requested the image.
     pub fn push(
@@ -139,6 +140,9 @@
         unit_price: f64,
         load: MachineLoad,
     ) {
+        if !may_add_attempt(self.demand, load.capacity, load.free_attempts) {
+            return;
+        }
         let Some(rank) = self.rule.selection_rank(self.demand, self.weight, &load) else {
             return;
         };
--- a/src/scheduler/candidate_queue/tests.rs
+++ b/src/scheduler/candidate_queue/tests.rs
@@ -65,6 +65,7 @@
                         capacity,
                         used,
                         price: rule.price_of_load(used.largest_share(capacity)),
+                        free_attempts: u32::MAX,
                     },
                 }
             })
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -13,6 +13,7 @@
 use crate::resources::Resources;
 use crate::runtime::Time;
 use crate::scheduler::Scheduler;
+use crate::scheduler::attempt_limits::FreeAttempts;
 use crate::scheduler::candidates::CandidateMachine;
 
 /// The parts of the leader's state that the scheduler reads.
@@ -64,7 +65,7 @@
     /// One for each task that is placed, in the order in which the machines were chosen.
     pub(super) assignments: Vec<Assignment>,
     /// Why pending tasks are left. None if all are placed, or if the job may not run more of them yet, for example
-    /// because of its team's limit.
+    /// because of its team's limit or of the limit on attempts.
     pub(super) unplaced_reason: Option<UnplacedReason>,
 }
 
@@ -97,6 +98,7 @@
 pub(crate) struct SchedulingPass {
     candidates: Vec<CandidateMachine>,
     failed: Vec<FailedPlacement>,
+    free_attempts: FreeAttempts,
     /// Whether machines are already reserved for a gang. A pass reserves machines for at most one gang.
     has_gang_reservation: bool,
 }
@@ -106,13 +108,16 @@
     ///
     /// `borrowing_priority_limit` takes the index of a machine type. Jobs of a priority below the returned one may
     /// borrow the machines of this type that are kept for large tasks. None means that no job may.
+    /// `unstored` is the number of task states that wait to be stored.
     pub(crate) fn new(
         view: &SchedulingView<'_>,
+        unstored: usize,
         borrowing_priority_limit: impl Fn(usize) -> Option<Priority>,
     ) -> Self {
         SchedulingPass {
             candidates: view.candidates(borrowing_priority_limit),
             failed: Vec::new(),
+            free_attempts: FreeAttempts::new(&view.config.deployment, view.fleet, unstored),
             has_gang_reservation: false,
         }
     }
@@ -123,6 +128,11 @@
         self.candidates.is_empty()
     }
 
+    /// Whether no more tasks are placed before some of the earlier decisions are stored.
+    pub(crate) fn waits_for_writes(&self) -> bool {
+        self.free_attempts.wait_for_writes()
+    }
+
     /// Chooses machines for the pending tasks of a job. Returns None if the job is not tried because a similar one
     /// failed earlier in this pass.
     ///
@@ -139,11 +149,15 @@
         if self.failed.iter().any(implies_failure) {
             return None;
         }
-        let placement = if job.is_gang() {
+        let placement = if !job.is_gang() {
+            let tasks_max = self.free_attempts.for_array(job.live_attempts);
+            view.place_array(index, tasks_max, &mut self.candidates)
+        } else if self.free_attempts.suffice_for_gang(job.spec.tasks) {
             view.place_gang(index, &mut self.candidates)
         } else {
-            view.place_array(index, &mut self.candidates)
+            Placement::default()
         };
+        self.free_attempts.take(placement.assignments.len());
         if let Some(unplaced_reason) = placement.unplaced_reason {
             if !job.is_gang() {
                 let unplaced_tasks = job.pending_tasks() - placement.assignments.len() as u32;
--- a/src/scheduler/pricing.rs
+++ b/src/scheduler/pricing.rs
@@ -25,6 +25,8 @@
     pub used: Resources,
     /// The dual price β, dimensionless.
     pub price: f64,
+    /// How many more tasks the machine may hold, whatever their resources.
+    pub free_attempts: u32,
 }
 
 impl MachineLoad {
@@ -89,6 +91,7 @@
         MachineLoad {
             used,
             price: self.price_after_placement(load.price, share_increase),
+            free_attempts: load.free_attempts.saturating_sub(1),
             ..*load
         }
     }
--- a/src/scheduler/pricing/tests.rs
+++ b/src/scheduler/pricing/tests.rs
@@ -33,6 +33,7 @@
         capacity: resources(cpus),
         used: resources(used),
         price,
+        free_attempts: u32::MAX,
     }
 }
 
--- a/src/tests/memory.rs
+++ b/src/tests/memory.rs
@@ -12,6 +12,8 @@
 /// The smallest memory limit of the deployments, in megabytes.
 const MEMORY_LIMIT_MB: f64 = 56.0;
 const MACHINES: usize = 100;
+/// The time within which an urgent job must start, in seconds: the strictest objective of the deployments.
+const START_S_MAX: f64 = 8.0;
 
 fn config() -> Config {
     let mut config = crate::config::tests::sample();
@@ -49,18 +51,21 @@
 fn run_first_rounds(store: &mut FakeStore, workers: &mut [FakeWorker]) -> Leader {
     let mut leader = store.elect_with(config(), "n0", 0.0);
     for round in 0..5 {
-        let now = f64::from(round);
-        leader.record_worker_contact(now);
-        for worker in workers.iter_mut() {
-            worker.send_heartbeat(&mut leader, now);
-        }
-        leader.maintain_fleet(now);
-        store.schedule_and_write(&mut leader, now);
-        leader.next_cloud_call(now);
+        run_round(store, &mut leader, workers, f64::from(round));
     }
     leader
 }
 
+fn run_round(store: &mut FakeStore, leader: &mut Leader, workers: &mut [FakeWorker], now: f64) {
+    leader.record_worker_contact(now);
+    for worker in workers.iter_mut() {
+        worker.send_heartbeat(leader, now);
+    }
+    leader.maintain_fleet(now);
+    store.schedule_and_write(leader, now);
+    leader.next_cloud_call(now);
+}
+
 fn assert_first_rounds_fit(arrays: usize, cpus: f64) {
     let mut store = store_with_arrays(arrays, cpus);
     let mut workers = workers();
@@ -85,3 +90,26 @@
 fn placing_900000_tiny_tasks_at_once_does_not_exceed_the_memory_limit() {
     assert_first_rounds_fit(9, 0.001);
 }
+
+#[test]
+fn an_urgent_job_of_another_team_starts_while_tiny_tasks_take_all_the_attempts_that_they_may() {
+    let mut store = store_with_arrays(9, 0.001);
+    let mut workers = workers();
+    let mut leader = run_first_rounds(&mut store, &mut workers);
+    let mut spec = job("j-100", 50);
+    spec.team = "red".into();
+    spec.priority = Priority::High;
+    store.submit(&spec);
+    let replica = store.replica();
+    leader.add_stored_job(&spec.id.as_str().into(), &replica.jobs["j-100"], 5.0);
+    let launched = |workers: &[FakeWorker]| {
+        let tasks = workers.iter().flat_map(|worker| &worker.heartbeat.tasks);
+        tasks.filter(|t| t.task.starts_with("j-100/")).count()
+    };
+    let mut now = 5.0;
+    while launched(&workers) < 50 {
+        assert!(now < 5.0 + START_S_MAX, "{} launched", launched(&workers));
+        run_round(&mut store, &mut leader, &mut workers, now);
+        now += 1.0;
+    }
+}
--- a/src/tests/state_limits.rs
+++ b/src/tests/state_limits.rs
@@ -254,18 +254,28 @@
     let mut spec = job(&long_id(1), 100_000);
     (spec.cpus, spec.memory_gb) = (0.005, 0.005);
     store.submit(&spec);
-    let mut leader = store.elect_with(config_with(limits), "n0", 0.0);
-    for worker in &mut big_workers(10, 100) {
-        worker.send_heartbeat(&mut leader, 1.0);
-        worker.send_heartbeat(&mut leader, 1.0);
-    }
+    let mut config = config_with(limits);
+    config.deployment.limits.ram_mb = 128.0;
+    let mut leader = store.elect_with(config, "n0", 0.0);
+    let mut workers = big_workers(300, 20);
     let mut bucket = WriteBucket::full(15.0);
-    leader.schedule(1.0);
     let mut now = 1.0;
-    while leader.next_write_at().is_some() {
+    let mut heartbeats_at = now;
+    loop {
+        if now >= heartbeats_at {
+            heartbeats_at = now + 3.0;
+            for worker in &mut workers {
+                worker.send_heartbeat(&mut leader, now);
+            }
+        }
+        leader.schedule(now);
+        apply_due_transactions(&mut store, &mut leader, &mut bucket, now);
+        if leader.next_write_at().is_none() && leader.jobs.values().all(|j| j.pending_tasks() == 0)
+        {
+            break;
+        }
         now += STEP_S;
         assert!(now < 400.0, "the assignments were never stored");
-        apply_due_transactions(&mut store, &mut leader, &mut bucket, now);
     }
     let replica = store.replica();
     let status = replica.jobs[spec.id.as_str()].status(&spec.id);
