Refuse submissions that the controllers have no memory for

Need: an accepted job must be held by whichever controller leads, and nothing bounded how many are accepted. With waiting tasks taking no memory and attempts bounded, what still grows is the number of jobs, their dependencies and the tasks in the assignment log.

Known jobs are answered as before, so nothing accepted is lost.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -30,6 +30,7 @@
 use replication::Replication;
 use replication::read_barriers::ReadBarriers;
 use socket_budget::front_sockets;
+use users::memory_admission::MemoryAdmission;
 use users::writes::UserWriteBudget;
 use workers::contacts::WorkerContacts;
 use workers::delegation::DelegationChecks;
@@ -108,6 +109,8 @@
     read_barriers: ReadBarriers,
     /// Budget of the writes that this controller makes for users.
     user_writes: UserWriteBudget,
+    /// Decides whether there is memory for more jobs.
+    memory_admission: MemoryAdmission,
     /// The term that this controller holds, if any, and the leader's state machine.
     leadership: LeadershipState,
     /// The workers that sent heartbeats to this controller.
@@ -129,7 +132,11 @@
 /// Runs a controller until its process ends.
 pub fn run(config: Config) -> Result<(), StartError> {
     let config = Rc::new(config);
-    Runtime::run(|runtime| Ok(start(runtime, config)?.1))
+    Runtime::run(|runtime| {
+        let (controller, scope) = start(runtime, config)?;
+        controller.memory_admission.measure_process();
+        Ok(scope)
+    })
 }
 
 /// Starts a controller's routines; they end when the scope is dropped.
@@ -165,6 +172,7 @@
             replication: Replication::default(),
             read_barriers: ReadBarriers::default(),
             user_writes: UserWriteBudget::new(&config),
+            memory_admission: MemoryAdmission::default(),
             leadership: LeadershipState::default(),
             worker_contacts: WorkerContacts::default(),
             step_down_requests: StepDownRequests::default(),
--- a/src/controller/tests/requests.rs
+++ b/src/controller/tests/requests.rs
@@ -359,3 +359,39 @@
     .unwrap();
     assert_eq!(written.get(), ROUND_TRANSACTIONS_MAX);
 }
+
+/// Submissions are refused with 503 and `Retry-After` while the stored jobs take the controllers' memory; a job that is
+/// known already is answered.
+#[test]
+fn a_submission_is_refused_at_once_when_the_controllers_have_no_memory_for_another_job() {
+    let finished = Rc::new(Cell::new(false));
+    let end = finished.clone();
+    Runtime::run::<calloop::Error>(move |runtime| {
+        let outage = Rc::new(Cell::new(false));
+        let (state, store_scope) = scripted_store(runtime, outage);
+        let mut config = crate::config::tests::sample();
+        config.services.state = state;
+        config.deployment.limits.ram_mb = 0.1;
+        let controller = Rc::new(Controller::new(runtime, Rc::new(config)));
+        let scope = Scope::new(runtime);
+        controller.start_routines(&scope);
+        let runtime = runtime.clone();
+        let check = Scope::new(&runtime);
+        let runtime_to_stop = runtime.clone();
+        check.spawn(async move {
+            while !controller.replication.is_loaded.get() {
+                runtime_to_stop.sleep(0.01).await;
+            }
+            let submit = |id| serde_json::to_vec(&job(id, 1)).unwrap();
+            let refused = controller.submit(&submit("j-2")).await;
+            assert_eq!((refused.status, refused.retry_after), (503, Some(10)));
+            assert_eq!(controller.submit(&submit("j-1")).await.status, 200);
+            drop((store_scope, scope));
+            end.set(true);
+            runtime_to_stop.stop();
+        });
+        Ok(check)
+    })
+    .unwrap();
+    assert!(finished.get());
+}
--- a/src/controller/users.rs
+++ b/src/controller/users.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod cancellations;
 pub(crate) mod job_creation;
+pub(crate) mod memory_admission;
 pub(crate) mod requests;
 pub(crate) mod submission_checks;
 pub(crate) mod submissions;
--- a/src/controller/users/submissions.rs
+++ b/src/controller/users/submissions.rs
@@ -16,6 +16,10 @@
 
 /// Answer when a job exceeds the limits of the state service.
 const TOO_LARGE: &str = "the job is larger than the state service can store";
+/// Answer when the controllers have no memory for another job.
+const NO_MEMORY: &str = "the controllers hold as many jobs as their memory allows";
+/// When a submission that was refused for want of memory is worth repeating, in seconds.
+const MEMORY_RETRY_AFTER_S: u32 = 10;
 /// Answer when the job may not have been stored.
 const SUBMISSION_UNCONFIRMED: &str = "the state service did not confirm the submission";
 
@@ -67,6 +71,9 @@
                 return Response::error(422, &error.to_string());
             }
         }
+        if !self.has_memory_for_job() {
+            return Response::retry_later(503, NO_MEMORY, MEMORY_RETRY_AFTER_S);
+        }
         self.store_submission(&job).await
     }
 
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -6,6 +6,7 @@
 mod dependency_parts;
 mod job;
 mod jobs;
+pub(crate) mod memory_estimate;
 mod quota_usage;
 
 pub use assignments::AssignmentRecords;
--- a/src/tests/memory.rs
+++ b/src/tests/memory.rs
@@ -5,6 +5,8 @@
 use crate::config::Config;
 use crate::leader::Leader;
 use crate::protocol::users::{Priority, Submission};
+use crate::protocol::workers::ExitReason;
+use crate::store::replica::memory_estimate::JOB_BYTES;
 use crate::test_support::{FakeStore, FakeWorker, job};
 
 /// The number of tasks that a job may have at most, by the protocol.
@@ -16,8 +18,12 @@
 const START_S_MAX: f64 = 8.0;
 
 fn config() -> Config {
+    config_with_memory(MEMORY_LIMIT_MB)
+}
+
+fn config_with_memory(memory_limit_mb: f64) -> Config {
     let mut config = crate::config::tests::sample();
-    config.deployment.limits.ram_mb = MEMORY_LIMIT_MB;
+    config.deployment.limits.ram_mb = memory_limit_mb;
     for team in &mut config.deployment.teams {
         (team.cpus_max, team.gpus_max) = (0.0, 0.0);
     }
@@ -113,3 +119,44 @@
         now += 1.0;
     }
 }
+
+/// The completed tasks of all the arrays together take more than the limit: one array has to end before the next.
+#[test]
+fn completed_tasks_of_many_arrays_do_not_exceed_the_memory_limit_and_all_arrays_end() {
+    const LIMIT_MB: f64 = 3.0;
+    const ARRAYS: usize = 24;
+    let mut store = FakeStore::default();
+    for number in 0..ARRAYS {
+        let mut spec = largest_array(&format!("j-{number}"), 0.001);
+        spec.tasks = 5_000;
+        store.submit(&spec);
+    }
+    let mut workers = workers();
+    let mut leader = store.elect_with(config_with_memory(LIMIT_MB), "n0", 0.0);
+    let mut now = 0.0;
+    let (_, peak_mb) = measure_peak_mb(|| {
+        while leader.jobs.values().any(|job| !job.end_stored) {
+            now += 1.0;
+            assert!(now < 1000.0, "{:?}", leader.state_size());
+            for worker in &mut workers {
+                for task in worker.running() {
+                    worker.exit_task(&task, ExitReason::Done);
+                }
+            }
+            run_round(&mut store, &mut leader, &mut workers, now);
+        }
+    });
+    assert!(
+        peak_mb < LIMIT_MB,
+        "{peak_mb:.1} MB of {LIMIT_MB} MB, {now} s"
+    );
+}
+
+#[test]
+fn a_waiting_job_takes_no_more_memory_than_submissions_are_measured_by() {
+    const JOBS: usize = 2000;
+    let mut store = store_with_arrays(JOBS, 60.0);
+    let (_leader, peak_mb) = measure_peak_mb(|| store.elect_with(config(), "n0", 0.0));
+    let bytes_per_job = peak_mb * 1e6 / JOBS as f64;
+    assert!(bytes_per_job < JOB_BYTES, "{bytes_per_job:.0} bytes");
+}
