Measure attempts and completed tasks by what a new leader holds

Cause: the limit on attempts took 256 bytes for each and left completed tasks of unfinished jobs out.

An attempt now counts 512 bytes and a completed task 160, within half of the limit. When both have used it up, the array with the most completed tasks goes on, as it frees the most when it ends. The replica shares one location between all task states of a machine. Submissions are refused by jobs and dependencies alone, a quarter of the limit: what is started is bounded already, and urgent jobs must not be refused for it.

Two tests name a limit that their size needs: 75,000 tasks on 4,500 machines 128 MB, one job of 100,000 started tasks 256 MB. Their checks are as before.

--- a/src/controller/users/memory_admission.rs
+++ b/src/controller/users/memory_admission.rs
@@ -9,8 +9,8 @@
 use crate::runtime::Time;
 use crate::store::replica::memory_estimate::JOB_BYTES;
 
-/// The share of the memory limit that the stored state may take.
-const STATE_MEMORY_SHARE: f64 = 0.7;
+/// The share of the memory limit that the stored jobs may take, without their started tasks.
+const STATE_MEMORY_SHARE: f64 = 0.25;
 /// The share of the memory limit above which a process accepts nothing more, whatever the estimate says.
 const RESIDENT_SHARE_MAX: f64 = 0.92;
 /// Time for which a measurement is used, in seconds.
--- a/src/scheduler/attempt_limits.rs
+++ b/src/scheduler/attempt_limits.rs
@@ -2,16 +2,21 @@
 //! heartbeat their number on one machine, and the state service's write rate those that are not stored yet.
 
 use crate::config::Deployment;
-use crate::fleet::Fleet;
 use crate::http::BODY_BYTES_MAX;
+use crate::jobs::JobIndex;
 use crate::leader::LEADER_WRITE_SHARE;
 use crate::memory::{BYTES_PER_KIB, BYTES_PER_MB};
 use crate::resources::{Resources, tasks_that_fit};
+use crate::scheduler::pass::SchedulingView;
 
-/// Memory of an attempt in the leader's state, the replica and the assignment log together, in bytes.
-const ATTEMPT_BYTES: f64 = 256.0;
-/// The share of the process's memory that attempts may take.
-const ATTEMPTS_MEMORY_SHARE: f64 = 0.4;
+/// Memory of an attempt in the leader's state, the replica, the assignment log and a reply to a new leader, in bytes.
+const ATTEMPT_BYTES: f64 = 512.0;
+/// Memory of a completed task of an unfinished job there, in bytes: it is recorded until the job has ended.
+const COMPLETED_TASK_BYTES: f64 = 160.0;
+/// The share of the process's memory that attempts and completed tasks may take.
+const TASKS_MEMORY_SHARE: f64 = 0.5;
+/// The share of that memory by which one job may exceed it: the job that frees the most of it when it ends.
+const RESERVE_SHARE: f64 = 1.0 / 16.0;
 /// Maximum size of an attempt in a heartbeat, in bytes: with the longest job id, task and attempt number, and cause.
 const HEARTBEAT_ENTRY_BYTES_MAX: usize = 117;
 /// Maximum size of the rest of a heartbeat, in bytes.
@@ -40,25 +45,42 @@
     in_memory: u32,
     /// What can be stored soon.
     to_be_stored: u32,
+    /// The waiting job with the most completed tasks. It may use the reserve, so that it ends and its memory is freed
+    /// however little is left for the others.
+    reserve_user: Option<JobIndex>,
+    /// Attempts that the reserve holds.
+    reserve: u32,
 }
 
 impl FreeAttempts {
-    /// What the limits leave beside the attempts that are or may be on machines and the `unstored` task states.
-    pub(super) fn new(deployment: &Deployment, fleet: &Fleet, unstored: usize) -> Self {
-        let machines = fleet.machines.values();
-        let in_use = machines.map(|machine| machine.attempts.len()).sum();
+    /// What the limits leave beside the attempts that are or may be on machines, the completed tasks of unfinished jobs,
+    /// and the `unstored` task states.
+    pub(super) fn new(view: &SchedulingView<'_>, unstored: usize) -> Self {
+        let deployment = &view.config.deployment;
+        let memory_bytes = deployment.limits.ram_mb * BYTES_PER_MB * TASKS_MEMORY_SHARE;
+        let free_bytes = (memory_bytes - used_bytes(view)).max(0.0);
+        let waiting = view.scheduler.waiting_jobs.iter();
         FreeAttempts {
-            in_memory: saturating_difference(attempts_max(deployment), in_use),
+            in_memory: (free_bytes / ATTEMPT_BYTES) as u32,
             to_be_stored: saturating_difference(unstored_max(deployment), unstored),
+            reserve_user: waiting
+                .max_by_key(|index| view.jobs[index].done_tasks)
+                .copied(),
+            reserve: (memory_bytes * RESERVE_SHARE / ATTEMPT_BYTES) as u32,
         }
     }
 
     /// How many tasks of an array may be placed beside its attempts that are or may be on machines already.
-    pub(super) fn for_array(&self, live_attempts: u32) -> u32 {
+    pub(super) fn for_array(&self, index: JobIndex, live_attempts: u32) -> u32 {
         // Placing n more leaves `in_memory - n`, and `live_attempts + n` must stay within its multiple.
         let allowed = self.in_memory.saturating_mul(ATTEMPTS_PER_FREE_ATTEMPT);
         let in_memory = allowed.saturating_sub(live_attempts) / (ATTEMPTS_PER_FREE_ATTEMPT + 1);
-        in_memory.min(self.to_be_stored)
+        let in_reserve = if self.reserve_user == Some(index) {
+            self.reserve.saturating_sub(live_attempts)
+        } else {
+            0
+        };
+        in_memory.max(in_reserve).min(self.to_be_stored)
     }
 
     /// Whether all tasks of a gang may be placed. They are placed at once, even if they can't all be stored soon.
@@ -94,10 +116,12 @@
     free_attempts > left_to_others
 }
 
-/// The maximum number of attempts on all machines.
-fn attempts_max(deployment: &Deployment) -> u32 {
-    let bytes = deployment.limits.ram_mb * BYTES_PER_MB * ATTEMPTS_MEMORY_SHARE;
-    (bytes / ATTEMPT_BYTES) as u32
+/// Memory of the attempts on all machines and of the completed tasks of unfinished jobs, in bytes.
+fn used_bytes(view: &SchedulingView<'_>) -> f64 {
+    let machines = view.fleet.machines.values();
+    let attempts: usize = machines.map(|machine| machine.attempts.len()).sum();
+    let completed: u64 = view.jobs.values().map(|j| u64::from(j.done_tasks)).sum();
+    attempts as f64 * ATTEMPT_BYTES + completed as f64 * COMPLETED_TASK_BYTES
 }
 
 /// The maximum number of task states that wait to be stored.
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -117,7 +117,7 @@
         SchedulingPass {
             candidates: view.candidates(borrowing_priority_limit),
             failed: Vec::new(),
-            free_attempts: FreeAttempts::new(&view.config.deployment, view.fleet, unstored),
+            free_attempts: FreeAttempts::new(view, unstored),
             has_gang_reservation: false,
         }
     }
@@ -150,7 +150,7 @@
             return None;
         }
         let placement = if !job.is_gang() {
-            let tasks_max = self.free_attempts.for_array(job.live_attempts);
+            let tasks_max = self.free_attempts.for_array(index, job.live_attempts);
             view.place_array(index, tasks_max, &mut self.candidates)
         } else if self.free_attempts.suffice_for_gang(job.spec.tasks) {
             view.place_gang(index, &mut self.candidates)
--- a/src/store/replica/assignments.rs
+++ b/src/store/replica/assignments.rs
@@ -8,12 +8,56 @@
 use super::{MachineLocation, RecordedTask, ReplicatedJob};
 use crate::store::records::{AssignmentRecord, JobAssignments, MachineEntry, decode};
 
+/// The number of machines up to which unused locations are kept.
+const LOCATIONS_KEPT_MIN: usize = 1000;
+
 /// Numbers of the stored records of the assignment log, and of the oldest valid one. The task states from the records
 /// are kept in the jobs, see [`ReplicatedJob::tasks`].
 #[derive(Debug, Default)]
 pub struct AssignmentRecords {
     numbers: BTreeSet<u64>,
     oldest_valid: u64,
+    locations: Locations,
+}
+
+/// The machines that task states refer to, by name: the states on a machine share one location.
+#[derive(Debug, Default)]
+struct Locations {
+    by_machine: HashMap<String, Rc<MachineLocation>>,
+    /// Unused locations are dropped when there are more than this.
+    drop_above: usize,
+}
+
+impl Locations {
+    /// Returns the location of a machine.
+    fn get(&mut self, machine: &MachineEntry, zone: &str) -> Rc<MachineLocation> {
+        if let Some(known) = self.by_machine.get(&machine.name)
+            && known.zone == zone
+        {
+            return known.clone();
+        }
+        if self.by_machine.len() > self.drop_above {
+            self.by_machine
+                .retain(|_, location| Rc::strong_count(location) > 1);
+            self.drop_above = (self.by_machine.len() * 2).max(LOCATIONS_KEPT_MIN);
+        }
+        let location = Rc::new(MachineLocation {
+            machine: machine.name.clone(),
+            zone: zone.to_owned(),
+        });
+        self.by_machine
+            .insert(machine.name.clone(), location.clone());
+        location
+    }
+
+    /// Returns the locations of a record's machines, in the order in which the record lists them.
+    fn of_record(&mut self, record: &AssignmentRecord) -> Vec<Rc<MachineLocation>> {
+        let zone = |index: u32| record.zones.get(index as usize).map_or("", String::as_str);
+        let machines = record.machines.iter();
+        machines
+            .map(|machine| self.get(machine, zone(machine.zone_index)))
+            .collect()
+    }
 }
 
 impl AssignmentRecords {
@@ -45,7 +89,8 @@
         self.oldest_valid = self.oldest_valid.max(record.oldest_valid);
         // A deleted record reappears if a late copy of its transaction is applied; its task states are outdated then.
         if record_number >= self.oldest_valid {
-            apply_record(record_number, &record, jobs);
+            let locations = self.locations.of_record(&record);
+            apply_record(record_number, &record, &locations, jobs);
         }
     }
 
@@ -63,9 +108,9 @@
 fn apply_record(
     record_number: u64,
     record: &AssignmentRecord,
+    locations: &[Rc<MachineLocation>],
     jobs: &mut HashMap<Rc<str>, ReplicatedJob>,
 ) {
-    let locations = locations_of(record);
     for assignments in &record.jobs {
         let Some(job) = jobs.get_mut(assignments.id.as_str()) else {
             continue;
@@ -73,27 +118,10 @@
         let Some(task_count) = job.spec.as_ref().map(|spec| spec.tasks) else {
             continue;
         };
-        apply_assignments(job, task_count, record_number, assignments, &locations);
+        apply_assignments(job, task_count, record_number, assignments, locations);
     }
 }
 
-fn locations_of(record: &AssignmentRecord) -> Vec<Rc<MachineLocation>> {
-    let zone = |index: u32| {
-        record
-            .zones
-            .get(index as usize)
-            .cloned()
-            .unwrap_or_default()
-    };
-    let location = |machine: &MachineEntry| {
-        Rc::new(MachineLocation {
-            machine: machine.name.clone(),
-            zone: zone(machine.zone_index),
-        })
-    };
-    record.machines.iter().map(location).collect()
-}
-
 fn apply_assignments(
     job: &mut ReplicatedJob,
     task_count: u32,
--- a/src/store/replica/memory_estimate.rs
+++ b/src/store/replica/memory_estimate.rs
@@ -8,11 +8,10 @@
 const ENDED_JOB_BYTES: f64 = 512.0;
 /// Memory of a dependency of a job, in bytes.
 const DEPENDENCY_BYTES: f64 = 128.0;
-/// Memory of a task in the assignment log, in bytes.
-const RECORDED_TASK_BYTES: f64 = 256.0;
 
 impl StateReplica {
-    /// Estimates the memory that the stored jobs take at a controller that leads, in bytes.
+    /// Estimates the memory that the stored jobs take at a controller that leads, in bytes. Tasks that were started are not
+    /// part of it: the scheduler bounds them.
     pub(crate) fn estimated_bytes(&self) -> f64 {
         self.jobs.values().map(estimated_job_bytes).sum()
     }
@@ -22,7 +21,5 @@
     let Some(spec) = &job.spec else {
         return ENDED_JOB_BYTES;
     };
-    JOB_BYTES
-        + spec.waits_on.len() as f64 * DEPENDENCY_BYTES
-        + job.tasks.len() as f64 * RECORDED_TASK_BYTES
+    JOB_BYTES + spec.waits_on.len() as f64 * DEPENDENCY_BYTES
 }
--- a/src/tests/large_fleet.rs
+++ b/src/tests/large_fleet.rs
@@ -21,6 +21,7 @@
     let mut config = crate::config::tests::sample();
     config.deployment.state.write_rps = 60.0;
     config.deployment.limits.max_sockets = 8000;
+    config.deployment.limits.ram_mb = 128.0;
     config
 }
 
--- a/src/tests/state_limits.rs
+++ b/src/tests/state_limits.rs
@@ -255,7 +255,7 @@
     (spec.cpus, spec.memory_gb) = (0.005, 0.005);
     store.submit(&spec);
     let mut config = config_with(limits);
-    config.deployment.limits.ram_mb = 128.0;
+    config.deployment.limits.ram_mb = 256.0;
     let mut leader = store.elect_with(config, "n0", 0.0);
     let mut workers = big_workers(300, 20);
     let mut bucket = WriteBucket::full(15.0);
