Read integers in each spelling of JSON, and only objects as messages

What callers saw: a sound submission with "Legs": 1.0 or 1e0 was answered 400, which users don't retry; a list of 21 values in the order of the fields was accepted as a job although a malformed submission is one that is not an object.

Cause: serde's derived readers take an integer in one spelling only, and a struct also from a list. The same holds for heartbeats, and for the answers of the cloud, the state service and the workers.

--- a/src/controller/leading/cloud_calls.rs
+++ b/src/controller/leading/cloud_calls.rs
@@ -9,6 +9,7 @@
 use crate::controller::{ANSWER_BYTES_MAX, Controller};
 use crate::http::{CallError, Client};
 use crate::protocol::cloud::{MachineList, MachineNames, MachineTypes};
+use crate::protocol::json::from_object;
 use crate::protocol::paths;
 use crate::runtime::{Runtime, TokenBucket};
 
@@ -120,24 +121,18 @@
     response: Result<(u16, Vec<u8>), CallError>,
 ) -> CloudAnswer {
     match (call, response) {
-        (CloudCall::MachineTypes, Ok((200, body))) => {
-            match serde_json::from_slice::<MachineTypes>(&body) {
-                Ok(list) if !list.types.is_empty() => CloudAnswer::MachineTypes(list.types),
-                _ => CloudAnswer::Failed,
-            }
-        }
-        (CloudCall::List { .. }, Ok((200, body))) => {
-            match serde_json::from_slice::<MachineList>(&body) {
-                Ok(list) => CloudAnswer::List(list.machines, list.truncated),
-                Err(_) => CloudAnswer::Failed,
-            }
-        }
-        (CloudCall::Rent(..), Ok((200, body))) => {
-            match serde_json::from_slice::<MachineNames>(&body) {
-                Ok(names) => CloudAnswer::Rented(names.machines),
-                Err(_) => CloudAnswer::Failed,
-            }
-        }
+        (CloudCall::MachineTypes, Ok((200, body))) => match from_object::<MachineTypes>(&body) {
+            Ok(list) if !list.types.is_empty() => CloudAnswer::MachineTypes(list.types),
+            _ => CloudAnswer::Failed,
+        },
+        (CloudCall::List { .. }, Ok((200, body))) => match from_object::<MachineList>(&body) {
+            Ok(list) => CloudAnswer::List(list.machines, list.truncated),
+            Err(_) => CloudAnswer::Failed,
+        },
+        (CloudCall::Rent(..), Ok((200, body))) => match from_object::<MachineNames>(&body) {
+            Ok(names) => CloudAnswer::Rented(names.machines),
+            Err(_) => CloudAnswer::Failed,
+        },
         (CloudCall::Rent(..), Ok((503, body))) if contains(&body, b"no capacity") => {
             CloudAnswer::NoCapacity
         }
--- a/src/controller/leading/direct_commands.rs
+++ b/src/controller/leading/direct_commands.rs
@@ -8,6 +8,7 @@
 use crate::fleet::{DirectCommandOutcome, DirectCommands};
 use crate::http::{CallError, Client};
 use crate::jobs::task_name::parse_task_name;
+use crate::protocol::json::from_object;
 use crate::protocol::paths;
 use crate::protocol::workers::{Command, DirectCommandRequest};
 use crate::runtime::Scope;
@@ -94,9 +95,10 @@
             })
             .await;
         match answer {
-            Ok((200, body)) => serde_json::from_slice(&body)
-                .map_or(DirectCommandOutcome::Unknown, DirectCommandOutcome::Done),
-            Ok((409, body)) => serde_json::from_slice(&body)
+            Ok((200, body)) => {
+                from_object(&body).map_or(DirectCommandOutcome::Unknown, DirectCommandOutcome::Done)
+            }
+            Ok((409, body)) => from_object(&body)
                 .map_or(DirectCommandOutcome::Unknown, DirectCommandOutcome::Refused),
             Ok(_) | Err(CallError::Unknown(_)) => DirectCommandOutcome::Unknown,
             Err(CallError::NotSent(_)) => DirectCommandOutcome::NotSent,
--- a/src/controller/users/submission_checks.rs
+++ b/src/controller/users/submission_checks.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::fleet::machine_catalog::is_type_allowed;
 use crate::protocol::cloud::MachineType;
+use crate::protocol::json::from_object;
 use crate::protocol::users::{JobKind, Submission};
 
 /// Maximum number of tasks of a job, set by the protocol.
@@ -76,7 +77,7 @@
 
 /// Parses a submission and checks its fields. The dependencies of the result are sorted and distinct.
 pub fn parse_submission(body: &[u8]) -> Result<Submission, SubmissionError> {
-    let mut job: Submission = serde_json::from_slice(body)?;
+    let mut job: Submission = from_object(body)?;
     if !is_job_id(&job.id) {
         return Err(SubmissionError::JobId);
     }
--- a/src/controller/users/submission_checks/tests.rs
+++ b/src/controller/users/submission_checks/tests.rs
@@ -97,3 +97,47 @@
         ]
     );
 }
+
+#[test]
+fn a_sound_submission_is_the_same_job_in_each_spelling_order_and_with_unknown_fields() {
+    let plain = parse_submission(JOB.as_bytes()).unwrap();
+    let values: serde_json::Map<String, serde_json::Value> = serde_json::from_str(JOB).unwrap();
+    let reversed: Vec<String> = values
+        .iter()
+        .rev()
+        .map(|(name, value)| format!("\"{name}\":{value}"))
+        .collect();
+    for spelling in [
+        JOB.replace("\"Legs\":4", "\"Legs\":4.0"),
+        JOB.replace("\"Legs\":4", "\"Legs\":4e0"),
+        JOB.replace("\"Legs\":4", "\"Legs\":0.4E+1"),
+        JOB.replace("\"Cores\":8.0", "\"Cores\":8"),
+        JOB.replace(
+            "\"Uid\":\"j-000412\"",
+            "\"\\u0055id\":\"j-\\u0030\\u00300412\"",
+        ),
+        JOB.replace(
+            "\"More\":1",
+            "\"More\":[{\"a\":1e999,\"Uid\":\"j-9\"}],\"uid\":2",
+        ),
+        JOB.replace(',', " ,\r\n\t"),
+        JOB.replace("\"Rigs\":null,", "")
+            .replace("\"DueS\":null,", ""),
+        format!("{{{}}}", reversed.join(",")),
+    ] {
+        let job = parse_submission(spelling.as_bytes());
+        assert_eq!(
+            job.map_err(|e| e.to_string()).as_ref(),
+            Ok(&plain),
+            "{spelling}"
+        );
+    }
+}
+
+#[test]
+fn a_list_of_a_jobs_values_is_no_submission() {
+    let list = r#"["j-1","c","red","batch","urgent",4,8.0,0.0,16.0,"img",1.0,null,null,true,false,true,240.0,30.0,4.0,
+        null,[]]"#;
+    assert!(serde_json::from_str::<Submission>(list).is_ok());
+    assert!(parse_submission(list.as_bytes()).is_err());
+}
--- a/src/controller/workers/heartbeats.rs
+++ b/src/controller/workers/heartbeats.rs
@@ -4,6 +4,7 @@
 use crate::controller::{Controller, RETRY_AFTER_S};
 use crate::fleet::HeartbeatOrigin;
 use crate::http::Response;
+use crate::protocol::json::from_object;
 use crate::protocol::workers::{Command, Heartbeat, HeartbeatReply, Redirect};
 use crate::runtime::Time;
 
@@ -31,7 +32,7 @@
 impl Controller {
     /// Answers a heartbeat as the leader, as a delegate of the leader, or with a redirect to the leader.
     pub(crate) async fn handle_heartbeat(&self, body: &[u8]) -> Response {
-        let Ok(heartbeat) = serde_json::from_slice::<Heartbeat>(body) else {
+        let Ok(heartbeat) = from_object::<Heartbeat>(body) else {
             return Response::error(400, "malformed heartbeat");
         };
         let now = self.now();
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -4,6 +4,7 @@
 //! schedulers.
 
 pub mod cloud;
+pub(crate) mod json;
 pub mod paths;
 pub mod store;
 pub mod users;
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use super::json::{integer, optional_integer};
+
 /// A key with its value.
 #[derive(Debug, Clone, Deserialize)]
 pub struct KeyValue {
@@ -12,10 +14,10 @@
     #[serde(rename = "V")]
     pub value: Box<RawValue>,
     /// The revision of the store at which the key was last changed.
-    #[serde(rename = "Stamp")]
+    #[serde(rename = "Stamp", deserialize_with = "integer")]
     pub revision: u64,
     /// The lease to which the key is attached, if any. Always `None` in pages of keys, which don't carry it.
-    #[serde(rename = "Permit", default)]
+    #[serde(rename = "Permit", default, deserialize_with = "optional_integer")]
     pub lease: Option<u64>,
 }
 
@@ -28,7 +30,7 @@
     #[serde(rename = "Truncated", default)]
     pub truncated: bool,
     /// The revision of the store that the page shows.
-    #[serde(rename = "Epoch")]
+    #[serde(rename = "Epoch", deserialize_with = "integer")]
     pub revision: u64,
 }
 
@@ -95,7 +97,7 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct LeaseGrant {
     /// Id of the granted lease.
-    #[serde(rename = "Permit")]
+    #[serde(rename = "Permit", deserialize_with = "integer")]
     pub lease: u64,
 }
 
@@ -112,7 +114,7 @@
     #[serde(rename = "V", default)]
     pub value: Option<Box<RawValue>>,
     /// The revision at which the change was made.
-    #[serde(rename = "Stamp", default)]
+    #[serde(rename = "Stamp", default, deserialize_with = "integer")]
     pub revision: u64,
 }
 
@@ -120,7 +122,7 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Events {
     /// The revision up to which this response contains all changes.
-    #[serde(rename = "Epoch")]
+    #[serde(rename = "Epoch", deserialize_with = "integer")]
     pub revision: u64,
     /// The changes, in the order in which they were made.
     #[serde(rename = "News")]
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::json::integer;
+
 /// How the tasks of a job run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobKind {
@@ -46,7 +48,7 @@
     #[serde(rename = "Urgency")]
     pub priority: Priority,
     /// Number of tasks. Tasks are numbered from 0.
-    #[serde(rename = "Legs")]
+    #[serde(rename = "Legs", deserialize_with = "integer")]
     pub tasks: u32,
     /// CPU cores that each task uses.
     #[serde(rename = "Cores")]
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::json::integer;
+
 /// State of a task on a machine, as its worker reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskState {
@@ -61,7 +63,7 @@
     #[serde(rename = "Leg")]
     pub task: String,
     /// Number of the attempt.
-    #[serde(rename = "Try")]
+    #[serde(rename = "Try", deserialize_with = "integer")]
     pub attempt: u64,
     #[serde(rename = "Status")]
     pub state: TaskState,
@@ -93,14 +95,14 @@
     pub spot: bool,
     /// Agent epoch, which starts at 1 and increases each time the worker's lease expires. The worker then kills and
     /// forgets all its tasks.
-    #[serde(rename = "Shift")]
+    #[serde(rename = "Shift", deserialize_with = "integer")]
     pub agent_epoch: u64,
     /// Sequence number within the agent epoch. Of two heartbeats, the one with the higher agent epoch is newer; in the
     /// same agent epoch, the one with the higher sequence number is newer.
-    #[serde(rename = "Tick")]
+    #[serde(rename = "Tick", deserialize_with = "integer")]
     pub sequence: u64,
     /// The highest fencing token that the worker has seen; initially 0.
-    #[serde(rename = "Baton")]
+    #[serde(rename = "Baton", deserialize_with = "integer")]
     pub fencing_token: u64,
     /// Seconds until the cloud preempts this spot machine; `None` without a preemption notice.
     #[serde(rename = "RecallS", default)]
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -7,6 +7,7 @@
 use super::transaction::TxnOutcome;
 use crate::config::Config;
 use crate::http::{CallError, Client};
+use crate::protocol::json::from_object;
 use crate::protocol::paths;
 use crate::protocol::store::{Events, KeyPage, KeyValue, LeaseGrant, LeaseRequest, Txn, TxnReply};
 use crate::runtime::{Runtime, TokenBucket};
@@ -237,5 +238,5 @@
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(StoreError::Decode)
+    from_object(body).map_err(StoreError::Decode)
 }
