--- a/src/controller/tests/faults.rs
+++ b/src/controller/tests/faults.rs
@@ -2,9 +2,11 @@
 //! memory. docs/design.md lists the guard against each.
 
 mod cancellations;
+mod connections;
 mod late_messages;
 mod leader_changes;
 mod limits_and_zones;
+mod machines;
 mod store_replies;
 mod users;
 mod zones;
--- a/src/controller/tests/world.rs
+++ b/src/controller/tests/world.rs
@@ -50,6 +50,11 @@
     host_address(node as u8, 80)
 }
 
+/// The address at which a controller answers other controllers.
+pub fn peer_address(node: usize) -> SocketAddr {
+    host_address(node as u8, 81)
+}
+
 /// The process of a controller. Dropping it kills the process.
 type ControllerProcess = (Rc<Controller>, Scope);
 
@@ -186,13 +191,13 @@
         config.node = format!("n{node}");
         config.zone = ZONES[node].into();
         config.listen = front_address(node);
-        config.peer_listen = host_address(node as u8, 81);
+        config.peer_listen = peer_address(node);
         let other_nodes = (0..NODES).filter(|other| *other != node);
         config.peers = other_nodes
             .map(|other| Peer {
                 name: format!("n{other}"),
                 zone: ZONES[other].into(),
-                addr: host_address(other as u8, 81),
+                addr: peer_address(other),
             })
             .collect();
         config.services.state = state::link_address(node);
--- a/src/controller/tests/world/workers.rs
+++ b/src/controller/tests/world/workers.rs
@@ -209,17 +209,22 @@
 
     /// If the lease has expired, drops all tasks and starts a new agent epoch.
     fn check_lease(&self, worker: &Worker) {
-        let now = self.now();
         if !worker.has_lease() {
-            let mut fake = worker.fake.borrow_mut();
-            fake.heartbeat.agent_epoch += 1;
-            fake.heartbeat.tasks.clear();
-            worker.completion_times.borrow_mut().clear();
-            worker.lease_from.set(now);
-            worker.heartbeat_at.set(now);
+            self.restart(worker);
         }
     }
 
+    /// Ends all tasks on a machine and starts a new agent epoch.
+    pub fn restart(&self, worker: &Worker) {
+        let now = self.now();
+        let mut fake = worker.fake.borrow_mut();
+        fake.heartbeat.agent_epoch += 1;
+        fake.heartbeat.tasks.clear();
+        worker.completion_times.borrow_mut().clear();
+        worker.lease_from.set(now);
+        worker.heartbeat_at.set(now);
+    }
+
     /// Sends heartbeats until the machine is removed. After a failure, the worker tries the next controller.
     async fn send_heartbeats(self: Rc<Self>, worker: Rc<Worker>) {
         loop {
