Let each array for more than the whole fleet begin within four minutes

Cause: without an objective, arrays of one priority are placed in the order of acceptance, and one for more than the fleet takes all that becomes free until its last task is placed.

An array for more than the whole fleet that has not begun after two minutes goes before others of its priority and guarantee until it has begun. Smaller jobs keep their order among themselves.

--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -20,6 +20,9 @@
 /// A job that missed its objectives is due again after this multiple of the longest one, counted from when it was
 /// ready.
 const OVERDUE_RATIO: f64 = 3.0;
+/// An array that needs more than the whole fleet goes before others of its priority if it has not begun after this share
+/// of [`LARGE_JOB_START_TARGET_S`]. Otherwise it waits until such an array before it has placed all its tasks.
+const HELD_UP_RATIO: f64 = 0.5;
 /// The highest rank of a priority, see [`priority_rank`].
 const HIGHEST_PRIORITY_RANK: usize = 3;
 
@@ -32,6 +35,8 @@
     is_outside_reservation_window: bool,
     /// False for jobs within their team's guarantee.
     exceeds_guarantee: bool,
+    /// False for arrays that have waited for long behind one that takes the whole fleet.
+    is_not_held_up: bool,
     /// The latest start plus the delay for the job's size, in milliseconds.
     delayed_start_ms: i64,
     acceptance_order: u64,
@@ -40,7 +45,7 @@
 
 impl SchedulingView<'_> {
     /// Returns the waiting jobs in the order in which they are placed: by priority, then gangs in their reservation
-    /// window before other jobs, then jobs within their team's guarantee, then by latest start (delayed for the size),
+    /// window before other jobs, then jobs within their team's guarantee, then arrays that are held up, then by latest start (delayed for the size),
     /// then by acceptance. Jobs in backoff are left out.
     pub(crate) fn scheduling_order(&self) -> Vec<JobIndex> {
         let within_guarantee = self.jobs_within_guarantee();
@@ -56,6 +61,7 @@
                 inverse_priority: HIGHEST_PRIORITY_RANK - priority_rank(job.spec.priority),
                 is_outside_reservation_window: !self.is_in_reservation_window(job),
                 exceeds_guarantee: !within_guarantee.contains(&index),
+                is_not_held_up: !self.is_held_up(job, fleet_cpus),
                 delayed_start_ms: ((self.latest_start(job) + self.size_delay_s(job, fleet_cpus))
                     * 1000.0) as i64,
                 acceptance_order: job.acceptance_order,
@@ -128,6 +134,16 @@
         most_urgent.min(job.ready_at + longest_s * OVERDUE_RATIO)
     }
 
+    /// Whether a job is an array for more than the whole fleet that should have begun by now. Once it has begun it is not
+    /// held up any more, so several such arrays begin one after the other.
+    fn is_held_up(&self, job: &Job, fleet_cpus: f64) -> bool {
+        let needed_cpus = f64::from(job.spec.tasks) * job.spec.cpus;
+        !job.is_gang()
+            && job.assigned_tasks + job.done_tasks == 0
+            && needed_cpus > fleet_cpus
+            && self.now - job.ready_at > LARGE_JOB_START_TARGET_S * HELD_UP_RATIO
+    }
+
     /// Returns by how many seconds a job moves back in the order because of its size; 0 for gangs. If the machines
     /// don't suffice for all jobs to meet their objectives, more jobs meet them when small ones go first.
     fn size_delay_s(&self, job: &Job, fleet_cpus: f64) -> f64 {
--- a/src/tests/scenarios/placement_order.rs
+++ b/src/tests/scenarios/placement_order.rs
@@ -1,5 +1,6 @@
 //! Placement order and choice of machines.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use super::{count_launches, exchange_heartbeats, fail_cloud_calls_until_deletion, gang};
@@ -299,3 +300,35 @@
     store.schedule_and_write(&mut leader, 22.0);
     assert_eq!(pending(&leader), 0);
 }
+
+#[test]
+fn each_of_several_arrays_for_more_than_the_whole_fleet_begins_within_four_minutes() {
+    const RUN_S: f64 = 20.0;
+    let mut store = FakeStore::default();
+    for number in 0..5 {
+        let mut spec = job(&format!("j-{number}"), 2000);
+        (spec.cpus, spec.memory_gb, spec.estimate_s) = (30.0, 30.0, RUN_S);
+        spec.priority = Priority::Low;
+        store.submit(&spec);
+    }
+    let mut leader = store.elect("n0", 0.0);
+    let mut worker = FakeWorker::new("i-1", "big", "north");
+    let mut started_at: BTreeMap<String, f64> = BTreeMap::new();
+    let mut now = 0.0;
+    while now < 240.0 {
+        now += 2.0;
+        leader.record_worker_contact(now);
+        for task in worker.running() {
+            let started_at = *started_at.entry(task.clone()).or_insert(now);
+            if now - started_at >= RUN_S {
+                worker.exit_task(&task, ExitReason::Done);
+            }
+        }
+        worker.send_heartbeat(&mut leader, now);
+        leader.maintain_fleet(now);
+        store.schedule_and_write(&mut leader, now);
+        worker.send_heartbeat(&mut leader, now + 0.5);
+    }
+    let begun: BTreeSet<&str> = started_at.keys().map(|task| &task[..3]).collect();
+    assert_eq!(begun.len(), 5, "{begun:?}");
+}
