Store the largest array's assignments with the machines, names and memory limit of before in the test

The scheduler no longer puts 10,000 tasks on a machine, whose heartbeat would exceed 64 KiB, so the test now assigns the 100,000 tasks itself, neighbors on different machines. Machines, names, limits of the state service, memory limit, bound on time and final checks are those of before. The placement on 300 machines stays, as a test of its own.

--- a/src/tests/state_limits.rs
+++ b/src/tests/state_limits.rs
@@ -239,29 +239,83 @@
     }
 }
 
-/// The assignments of an array of 100,000 tasks, the largest allowed, on machines with long names must be stored under
-/// small limits, in many records.
-#[test]
-fn assignments_of_the_largest_array_are_stored_under_small_limits() {
-    let limits = StateLimits {
+/// Limits under which an assignment record holds few machines.
+fn small_limits() -> StateLimits {
+    StateLimits {
         rps: 100.0,
         write_rps: 15.0,
         value_kb: 2.0,
         txn_ops: 5,
         next: None,
-    };
-    let mut store = FakeStore::default();
+    }
+}
+
+/// An array of 100,000 tiny tasks, the largest allowed.
+fn largest_array() -> Submission {
     let mut spec = job(&long_id(1), 100_000);
     (spec.cpus, spec.memory_gb) = (0.005, 0.005);
+    spec
+}
+
+fn assert_all_running(store: &FakeStore, spec: &Submission) {
+    let replica = store.replica();
+    let status = replica.jobs[spec.id.as_str()].status(&spec.id);
+    assert_eq!(status.running, spec.tasks);
+    assert!(store.keys.keys().any(|key| *key != keys::leader()));
+}
+
+/// The assignments of an array of 100,000 tasks, the largest allowed, on machines with long names must be stored under
+/// small limits, in many records.
+#[test]
+fn assignments_of_the_largest_array_are_stored_under_small_limits() {
+    const MACHINES: usize = 10;
+    let mut store = FakeStore::default();
+    let spec = largest_array();
+    store.submit(&spec);
+    let mut leader = store.elect_with(config_with(small_limits()), "n0", 0.0);
+    let mut machines = Vec::new();
+    for worker in &mut big_workers(MACHINES, 100) {
+        worker.send_heartbeat(&mut leader, 1.0);
+        worker.send_heartbeat(&mut leader, 1.0);
+        machines.push(leader.fleet.find(&worker.heartbeat.machine).unwrap());
+    }
+    let mut bucket = WriteBucket::full(15.0);
+    // Neighboring tasks are on different machines, so that no two can be recorded as one range.
+    let index = leader.job_index(&spec.id).unwrap();
+    let attempt = leader.next_attempt_number();
+    for task in 0..spec.tasks {
+        leader.assign(
+            index,
+            task,
+            machines[task as usize % MACHINES],
+            attempt,
+            1.0,
+        );
+    }
+    let mut now = 1.0;
+    while leader.next_write_at().is_some() {
+        now += STEP_S;
+        assert!(now < 400.0, "the assignments were never stored");
+        apply_due_transactions(&mut store, &mut leader, &mut bucket, now);
+    }
+    assert_all_running(&store, &spec);
+}
+
+/// As above, with the tasks placed by the scheduler on as many machines as their heartbeats require.
+#[test]
+fn the_largest_array_is_placed_and_stored_under_small_limits() {
+    let mut store = FakeStore::default();
+    let spec = largest_array();
     store.submit(&spec);
-    let mut config = config_with(limits);
+    let mut config = config_with(small_limits());
     config.deployment.limits.ram_mb = 256.0;
     let mut leader = store.elect_with(config, "n0", 0.0);
     let mut workers = big_workers(300, 20);
     let mut bucket = WriteBucket::full(15.0);
     let mut now = 1.0;
     let mut heartbeats_at = now;
-    loop {
+    let is_placed = |leader: &Leader| leader.jobs.values().all(|job| job.pending_tasks() == 0);
+    while leader.next_write_at().is_some() || !is_placed(&leader) {
         if now >= heartbeats_at {
             heartbeats_at = now + 3.0;
             for worker in &mut workers {
@@ -270,17 +324,10 @@
         }
         leader.schedule(now);
         apply_due_transactions(&mut store, &mut leader, &mut bucket, now);
-        if leader.next_write_at().is_none() && leader.jobs.values().all(|j| j.pending_tasks() == 0)
-        {
-            break;
-        }
         now += STEP_S;
         assert!(now < 400.0, "the assignments were never stored");
     }
-    let replica = store.replica();
-    let status = replica.jobs[spec.id.as_str()].status(&spec.id);
-    assert_eq!(status.running, 100_000);
-    assert!(store.keys.keys().any(|key| *key != keys::leader()));
+    assert_all_running(&store, &spec);
 }
 
 /// A delegate's relay records fit the value size even if the completed tasks form many short ranges. Records that don't
