--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import functools
 import json
 import os
 import shlex
@@ -501,24 +502,25 @@
         self.machines = {}
         self.hires = {}
         self.last = 0
-        self.port = free_port()
-        # (seconds, name, count granted, names) of each rental that was granted, in order.
-        self.granted = []
-        # Called with the name of each rental request as it arrives.
-        self.on_rent = lambda name: None
+        # One address for each controller, so that the record shows who sent a request.
+        self.ports = {node.name: free_port() for node in world.nodes}
+        # (seconds, node, path, body) of each request that changes something, as it arrives.
+        self.requests = []
 
     async def start(self):
-        self.server = await serve(self.handle, self.port)
+        self.servers = [await serve(functools.partial(self.handle, node), port) for node, port in self.ports.items()]
 
     def flavor(self, name):
         return next(f for f in self.flavors if f["Name"] == name)
 
-    async def handle(self, method, path, body):
+    async def handle(self, node, method, path, body):
         url = urllib.parse.urlsplit(path)
         query = dict(urllib.parse.parse_qsl(url.query))
         value = json.loads(body) if body else {}
+        if method == "POST":
+            self.requests.append((now(), node, url.path, value))
         if not self.calls.take():
-            self.record(f"cloud: {method} {path} -> 429")
+            self.record(f"cloud: {method} {path} of {node} -> 429")
             return 429, {"error": "rate"}
         if url.path == "/flavors":
             return 200, {"Rigs": self.flavors}
@@ -528,11 +530,11 @@
                     (m["gone"] is None or m["gone"] > now() - lag) and m["number"] > self.number(query.get("After"))]
             limit = int(query.get("Limit", "500"))
             hosts = [{"Uid": m["Uid"], "Addr": m["Addr"], "Rig": m["Rig"], "Yard": m["Yard"], "Loaner": m["Loaner"],
-                      "Status": "running" if m["up"] and m["up"] <= now() - lag else "starting",
+                      "Status": "running" if m["up"] is not None and m["up"] <= now() - lag else "starting",
                       "HeldS": round(now() - lag - m["born"], 2)} for m in seen[:limit]]
             return 200, {"Hosts": hosts, "Truncated": len(seen) > limit}
         if url.path == "/hosts/delete":
-            self.record(f"cloud: delete {value['Hosts']}")
+            self.record(f"cloud: delete {value['Hosts']} by {node}")
             for name in value["Hosts"]:
                 m = self.machines.get(name)
                 if m and m["gone"] is None:
@@ -545,32 +547,30 @@
                         m["boot"].cancel()
             return 200, {}
         name = value["Hire"]
-        self.on_rent(name)
         if name in self.hires:
             return 200, {"Hosts": self.hires[name]}
         pool = (value["Rig"], value["Yard"], value["Loaner"])
         count = min(value["Count"], self.capacity.get(pool, 0), 50)
         if count == 0:
-            self.record(f"cloud: rent {name} {value['Count']} of {pool} -> no capacity")
+            self.record(f"cloud: rent {name} by {node} {value['Count']} of {pool} -> no capacity")
             return 503, {"error": "no capacity"}
         self.capacity[pool] -= count
         names = [self.add(*pool) for _ in range(count)]
         self.hires[name] = names
-        self.granted.append((now(), name, count, names))
-        self.record(f"cloud: rent {name} {value['Count']} of {pool} -> {count}: {names}")
+        self.record(f"cloud: rent {name} by {node} {value['Count']} of {pool} -> {count}: {names}")
         return 200, {"Hosts": names}
 
     @staticmethod
     def number(name):
         return int(name.split("-")[1]) if name else 0
 
-    def add(self, rig, yard, loaner, boot_s=None):
-        """Adds a machine, which boots; returns its name."""
+    def add(self, rig, yard, loaner, boot_s=None, held_s=0.0):
+        """Adds a machine that was rented `held_s` seconds ago and boots; returns its name."""
         self.last += 1
         name, port = f"i-{self.last:06}", free_port()
         flavor = self.flavor(rig)
         machine = {"Uid": name, "Addr": f"127.0.0.1:{port}", "Rig": rig, "Yard": yard, "Loaner": loaner, "port": port,
-                   "number": self.last, "flavor": flavor, "born": now(), "up": None, "gone": None, "worker": None}
+                   "number": self.last, "flavor": flavor, "born": now() - held_s, "up": None, "gone": None, "worker": None}
         self.machines[name] = machine
         machine["boot"] = asyncio.create_task(self.boot(machine, flavor["ReadyS"] if boot_s is None else boot_s))
         return name
@@ -579,7 +579,7 @@
         await asyncio.sleep(boot_s)
         machine["worker"] = Worker(self, machine)
         await machine["worker"].start()
-        machine["up"] = now()
+        machine["up"] = min(now(), machine["born"] + machine["flavor"]["ReadyS"] + boot_s)
         self.record(f"cloud: {machine['Uid']} is up")
 
 
@@ -638,7 +638,7 @@
             if other is not node:
                 lines += ["[[known]]", f'host_name = "{other.name}"', f'domain = "{other.zone}"',
                           f'endpoint = "{other.cluster}"']
-        lines += ["[services]", f'cloud = "127.0.0.1:{self.cloud.port}"', f'state = "127.0.0.1:{self.state.port}"',
+        lines += ["[services]", f'cloud = "127.0.0.1:{self.cloud.ports[node.name]}"', f'state = "127.0.0.1:{self.state.port}"',
                   "[deployment]", f"count = {len(self.nodes)}", f"zones = {json.dumps(s['zones'])}",
                   "skew_ms = 250.0"]
         for table in ("teams", "objectives"):
@@ -680,6 +680,11 @@
         for node in self.nodes:
             self.start_node(node)
 
+    def log(self, node):
+        """What a controller has logged so far."""
+        with open(os.path.join(self.temporary.name, f"{node.name}.log"), errors="replace") as file:
+            return file.read()
+
     async def until(self, condition, timeout, what):
         """Waits for a condition of the preparation; the case can't run without it."""
         deadline = now() + timeout
