--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -128,6 +128,7 @@
         host, port = address.rsplit(":", 1)
         self.host, self.port = host, int(port)
         self.reader = self.writer = None
+        self.bytes_sent = 0
 
     def close(self):
         if self.writer:
@@ -140,7 +141,8 @@
         async def exchange():
             if self.writer is None:
                 self.reader, self.writer = await asyncio.open_connection(self.host, self.port, limit=1 << 22)
-            out = b"" if value is None else json.dumps(value).encode()
+            out = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
+            self.bytes_sent = len(out)
             self.writer.write(f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
                               f"Content-Length: {len(out)}\r\n\r\n".encode() + out)
             await self.writer.drain()
@@ -338,6 +340,8 @@
         self.port = machine["port"]
         self.lease_from = now()
         self.images = {}
+        # When a report was last answered with 200.
+        self.answered_at = 0.0
 
     async def start(self):
         self.server = await serve(self.handle, self.port)
@@ -394,7 +398,11 @@
                 status, _, answer = await connection.call("POST", "/checkin", body, 4.0)
             except OSError:
                 status, answer = 0, {}
+            if status not in (200, 421):
+                self.world.record(f"worker {self.machine['Uid']}: report of {connection.bytes_sent} bytes with "
+                                  f"{len(body['Legs'])} tasks to {node.name} -> {status}")
             if status == 200:
+                self.answered_at = now()
                 if shift == self.shift and answer.get("Baton", -1) >= self.baton:
                     self.lease_from = max(self.lease_from, sent)
                     self.take_token(answer["Baton"], node.name)
@@ -609,6 +617,8 @@
         self.results = set()
         self.running = {}
         self.starts = []
+        # (seconds, task, machine, reason) of each task that left a machine.
+        self.ends = []
         self.broken = []
         self.run_s = lambda job: job["ExpectedS"]
 
@@ -627,6 +637,7 @@
 
     def off_machine(self, leg, attempt, machine, why):
         self.record(f"run: {leg} try {attempt} off {machine}: {why}")
+        self.ends.append((now(), leg, machine, why))
         self.running.get(leg, set()).discard(machine)
 
     def settings_file(self, node):
@@ -729,6 +740,22 @@
             await asyncio.sleep(wait)
             at += 1
 
+    async def withdraw(self, uid, at=0):
+        """Cancels a job as a user does, until the answer is 200; returns its state."""
+        while True:
+            node = self.nodes[at % len(self.nodes)]
+            connection = Connection(node.front)
+            try:
+                status, _, answer = await connection.call("POST", f"/v1/jobs/{uid}/withdraw", {}, 5.0)
+            except OSError:
+                status, answer = 0, {}
+            connection.close()
+            self.record(f"user: withdraw {uid} at {node.name} -> {status} {json.dumps(answer)}")
+            if status == 200:
+                return answer["Status"]
+            await asyncio.sleep(1.0)
+            at += 1
+
     async def poll(self, uid, at=0, timeout=2.0):
         """Asks for a job's state; returns the status code and the answer."""
         node = self.nodes[at % len(self.nodes)]
@@ -803,6 +830,27 @@
     ("kelyfos", "makedonia", True): 3, ("plaisio", "attiki", False): 9, ("plaisio", "attiki", True): 6,
     ("sasi", "makedonia", False): 2, ("sasi", "makedonia", True): 1}
 
+# The figures of the brief for Hinokuni, with two of its twelve teams.
+HINOKUNI = {
+    "zones": ["fukuoka", "kumamoto", "nagasaki"],
+    "teams": [{"name": f"bangumi-ops-{n}", "cpus": 45.0, "cpus_max": 135.0, "gpus": 0.0, "gpus_max": 0.0}
+              for n in (1, 2)],
+    "objectives": [
+        {"kind": "wait", "class": "master-encode", "within_s": 10.0, "share": 0.85},
+        {"kind": "finished", "class": "master-encode", "within_s": 300.0, "share": 0.88},
+        {"kind": "finished", "class": "clip-cut", "within_s": 80.0, "share": 0.88},
+        {"kind": "guarantee", "within_s": 15.0, "share": 0.92}],
+    "workers": {"report_s": 3.0, "lease_s": 44.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 74.0},
+    "state": {"rps": 250.0, "write_rps": 60.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 10.0, "list_lag_s": 3.0},
+    "limits": {"cores": 0.064, "ram_mb": 200.0, "max_sockets": 4000},
+}
+HINOKUNI_NODES = [("fuji-0", "fukuoka"), ("fuji-1", "kumamoto"), ("fuji-2", "nagasaki")]
+
+
+def hinokuni_flavors():
+    return [flavor("hako", 16.0, 64.0, 0.64, 0.21, 50.0, 0.5, HINOKUNI["zones"])]
+
 
 def main(folder, prepare, case):
     """Runs a case: `case(world, trouble)` calls `world.fail` for a broken rule. Exits with 0, 1 or 2."""
