--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -857,6 +857,12 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world = prepare(folder)
 
+    def ended(number, frame):
+        raise SystemExit(2)
+
+    # The controllers are ended too if the script is told to end.
+    signal.signal(signal.SIGTERM, ended)
+
     async def run():
         await world.start()
         await case(world, trouble)
@@ -872,6 +878,7 @@
         code = 2
     finally:
         world.end()
+        sys.stdout.flush()
     world.record(f"exit {code}")
     print({0: "held", 1: "broken: " + "; ".join(world.broken[:3]), 2: "could not run"}[code])
     sys.exit(code)
