--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -10,6 +10,7 @@
 import functools
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -33,10 +34,15 @@
 
 
 def free_port():
-    """A free port of 127.0.0.1."""
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port of 127.0.0.1, below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class Record:
