--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -23,6 +23,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 START = time.monotonic()
+GIVEN_PORTS = set()
 
 
 class CannotRun(Exception):
@@ -37,6 +38,9 @@
     """A free port of 127.0.0.1, below those that the system gives to outgoing connections."""
     while True:
         port = random.randrange(20_000, 32_000)
+        if port in GIVEN_PORTS:
+            continue
+        GIVEN_PORTS.add(port)
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
@@ -477,10 +481,21 @@
         task["routine"] = asyncio.create_task(self.run(key, job))
 
     async def run(self, key, job):
-        """Fetches the image, runs the task and reports its end. Gangs of one task need no peers."""
+        """Fetches the image, runs the task and reports its end. A gang's tasks wait for each other."""
         leg = key[0]
         fetch = self.images.setdefault(job["Bundle"], now() + job["ImageGb"] / self.machine["flavor"]["PullGbPerS"])
         await asyncio.sleep(max(0.0, fetch - now()))
+        if job["Shape"] == "group" and job["Legs"] > 1:
+            self.tasks[key]["state"] = "waiting"
+            ready, begin = self.world.gangs.setdefault((job["Uid"], key[1]), (set(), asyncio.Event()))
+            ready.add(leg)
+            if len(ready) == job["Legs"]:
+                begin.set()
+            try:
+                await asyncio.wait_for(begin.wait(), self.world.workers["gang_wait_s"])
+            except asyncio.TimeoutError:
+                ready.discard(leg)
+                return self.finish(key, "incomplete")
         self.tasks[key]["state"] = "running"
         self.world.on_machine(leg, key[1], self.machine["Uid"])
         self.changed.set()
@@ -621,6 +636,8 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.jobs = {}
         self.results = set()
+        # For each gang and attempt: its tasks that have their image, and the event that starts them together.
+        self.gangs = {}
         self.running = {}
         self.starts = []
         # (seconds, task, machine, reason) of each task that left a machine.
