--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -23,7 +23,6 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 START = time.monotonic()
-GIVEN_PORTS = set()
 
 
 class CannotRun(Exception):
@@ -34,19 +33,19 @@
     return time.monotonic() - START
 
 
-def free_port():
-    """A free port of 127.0.0.1, below those that the system gives to outgoing connections."""
+def reserve():
+    """A socket bound to a free port of 127.0.0.1, below those that the system gives to outgoing connections."""
     while True:
-        port = random.randrange(20_000, 32_000)
-        if port in GIVEN_PORTS:
-            continue
-        GIVEN_PORTS.add(port)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                pass
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", random.randrange(20_000, 32_000)))
+            return held
+        except OSError:
+            held.close()
+
+
+def port_of(held):
+    return held.getsockname()[1]
 
 
 class Record:
@@ -101,8 +100,8 @@
     return lines[0], headers, body
 
 
-async def serve(handler, port):
-    """Serves HTTP/1.1 on a loopback port. `handler(method, path, body)` returns a status and an object."""
+async def serve(handler, held):
+    """Serves HTTP/1.1 on a reserved port. `handler(method, path, body)` returns a status and an object."""
 
     async def connection(reader, writer):
         try:
@@ -128,7 +127,7 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(connection, "127.0.0.1", port, limit=1 << 22)
+    return await asyncio.start_server(connection, sock=held, limit=1 << 22, backlog=512)
 
 
 class Connection:
@@ -191,10 +190,11 @@
         self.writes = Bucket(state["write_rps"], state["write_rps"])
         # (seconds, revision, record) of each leader key that was created.
         self.leaders = []
-        self.port = free_port()
+        self.held = reserve()
+        self.port = port_of(self.held)
 
     async def start(self):
-        self.server = await serve(self.handle, self.port)
+        self.server = await serve(self.handle, self.held)
         self.expiry = asyncio.create_task(self.expire())
 
     async def expire(self):
@@ -347,14 +347,13 @@
         self.tasks = {}
         self.ended = False
         self.changed = asyncio.Event()
-        self.port = machine["port"]
         self.lease_from = now()
         self.images = {}
         # When a report was last answered with 200.
         self.answered_at = 0.0
 
     async def start(self):
-        self.server = await serve(self.handle, self.port)
+        self.server = await serve(self.handle, self.machine["held"])
         self.loop = asyncio.create_task(self.report())
         self.lease = asyncio.create_task(self.watch_lease())
 
@@ -532,12 +531,13 @@
         self.hires = {}
         self.last = 0
         # One address for each controller, so that the record shows who sent a request.
-        self.ports = {node.name: free_port() for node in world.nodes}
+        self.held = {node.name: reserve() for node in world.nodes}
+        self.ports = {name: port_of(held) for name, held in self.held.items()}
         # (seconds, node, path, body) of each request that changes something, as it arrives.
         self.requests = []
 
     async def start(self):
-        self.servers = [await serve(functools.partial(self.handle, node), port) for node, port in self.ports.items()]
+        self.servers = [await serve(functools.partial(self.handle, node), held) for node, held in self.held.items()]
 
     def flavor(self, name):
         return next(f for f in self.flavors if f["Name"] == name)
@@ -596,9 +596,10 @@
     def add(self, rig, yard, loaner, boot_s=None, held_s=0.0):
         """Adds a machine that was rented `held_s` seconds ago and boots; returns its name."""
         self.last += 1
-        name, port = f"i-{self.last:06}", free_port()
+        # Nobody listens there before the machine is up.
+        name, held = f"i-{self.last:06}", reserve()
         flavor = self.flavor(rig)
-        machine = {"Uid": name, "Addr": f"127.0.0.1:{port}", "Rig": rig, "Yard": yard, "Loaner": loaner, "port": port,
+        machine = {"Uid": name, "Addr": f"127.0.0.1:{port_of(held)}", "Rig": rig, "Yard": yard, "Loaner": loaner, "held": held,
                    "number": self.last, "flavor": flavor, "born": now() - held_s, "up": None, "gone": None, "worker": None}
         self.machines[name] = machine
         machine["boot"] = asyncio.create_task(self.boot(machine, flavor["ReadyS"] if boot_s is None else boot_s))
@@ -617,8 +618,8 @@
 
     def __init__(self, name, zone):
         self.name, self.zone = name, zone
-        self.front = f"127.0.0.1:{free_port()}"
-        self.cluster = f"127.0.0.1:{free_port()}"
+        self.held = [reserve(), reserve()]
+        self.front, self.cluster = (f"127.0.0.1:{port_of(held)}" for held in self.held)
         self.process = None
 
 
@@ -694,6 +695,8 @@
         command[0] = os.path.join(ROOT, command[0])
         if not os.path.exists(command[0]):
             raise CannotRun(f"{command[0]} is not built")
+        while node.held:
+            node.held.pop().close()
         log = open(os.path.join(self.temporary.name, f"{node.name}.log"), "ab")
         environment = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
         node.process = subprocess.Popen(command + [self.settings_file(node)], stderr=log, stdout=log, env=environment)
