Bound the demand and the rental plan that users' numbers lead to

Cause: the demand of a class is arrivals x tasks x run time without a bound, and the plan subtracts it machine by machine in one turn of the event loop, on which the lease's renewal waits. With the largest estimates the mean overflows, and the count of planned machines wraps. Excluded: scheduling order and image model (the tests with the other fields at their largest value passed before).

Change: arrivals count for an hour at most, a class demands 1e9 tasks at most, an estimate counts as a year at most; equal machines are subtracted at once; a pass takes 4,096 small steps and keeps 1,024 planned units at most; counts saturate. CPUs that ending tasks release are summed once a pass instead of once a class.

--- a/src/autoscaler.rs
+++ b/src/autoscaler.rs
@@ -167,8 +167,9 @@
         let mut pass = ScalingPass::new(inputs, &self.cloud.pool_backoffs);
         pass.cover_exceptions(&mut self.classes);
         let classes = self.classes.in_scaling_order(inputs);
+        let turnover = inputs.turnover(&self.classes);
         for class in &classes {
-            let demand = inputs.demand_of(class, &self.classes, &self.forecast.borrow());
+            let demand = inputs.demand_of(class, turnover, &self.forecast.borrow());
             tracing::debug!(
                 class = %class.spec.class,
                 pending_tasks = class.pending_tasks,
--- a/src/autoscaler/coverage.rs
+++ b/src/autoscaler/coverage.rs
@@ -7,6 +7,7 @@
 use super::demand::Demand;
 use super::job_classes::JobClass;
 use super::pools::{PoolBackoff, PoolKey, RentalPlan, pool_counts};
+use super::rentals::RentalSteps;
 use crate::fleet::MachineRole;
 use crate::fleet::machine_catalog::MachineOption;
 use crate::resources::tasks_that_fit;
@@ -40,13 +41,18 @@
             && unit.planned_role.is_none_or(|role| role == self.role)
     }
 
-    /// How many tasks of the uncovered demand a machine is allocated to; 0 if the demand or the machine has no more.
-    fn tasks_for(&self, class: &JobClass, unit: &CapacityUnit, uncovered: &Demand) -> f64 {
-        let demanded_tasks = if unit.unit_price <= self.low_price_limit {
+    /// The uncovered demand that the machines of a unit may serve at their price.
+    fn demanded_tasks(&self, unit: &CapacityUnit, uncovered: &Demand) -> f64 {
+        if unit.unit_price <= self.low_price_limit {
             uncovered.at_low_price
         } else {
             uncovered.at_any_price
-        };
+        }
+    }
+
+    /// How many tasks of the uncovered demand a machine is allocated to; 0 if the demand or the machine has no more.
+    fn tasks_for(&self, class: &JobClass, unit: &CapacityUnit, uncovered: &Demand) -> f64 {
+        let demanded_tasks = self.demanded_tasks(unit, uncovered);
         let fitting_tasks = tasks_that_fit(class.task_resources, unit.free);
         if demanded_tasks <= TASKS_EPSILON || fitting_tasks < 1.0 {
             return 0.0;
@@ -66,7 +72,7 @@
         if tasks <= 0.0 {
             return None;
         }
-        let equal_machines = self.allocate_equally(class, unit, tasks, uncovered);
+        let equal_machines = self.allocate_equally(unit, tasks, uncovered);
         let rest = unit.split_off(equal_machines);
         unit.free = unit.free.minus(class.task_resources.times(tasks));
         unit.planned_role = Some(self.role);
@@ -75,21 +81,12 @@
 
     /// Allocates `tasks` on each machine of a unit as long as the demand allows; returns on how many machines, at least
     /// one.
-    fn allocate_equally(
-        &self,
-        class: &JobClass,
-        unit: &CapacityUnit,
-        tasks: f64,
-        uncovered: &mut Demand,
-    ) -> u32 {
-        for machines in 1..unit.machine_count {
-            uncovered.subtract(tasks);
-            if self.tasks_for(class, unit, uncovered) != tasks {
-                return machines;
-            }
-        }
-        uncovered.subtract(tasks);
-        unit.machine_count
+    fn allocate_equally(&self, unit: &CapacityUnit, tasks: f64, uncovered: &mut Demand) -> u32 {
+        let demanded_tasks = self.demanded_tasks(unit, uncovered);
+        // A cast to u32 saturates.
+        let equal_machines = ((demanded_tasks / tasks) as u32).clamp(1, unit.machine_count.max(1));
+        uncovered.subtract(tasks * f64::from(equal_machines));
+        equal_machines
     }
 
     /// The round in which a class may use a machine. Machines that run tasks of the same size (large or small) come
@@ -130,6 +127,7 @@
     pub(super) units: Vec<CapacityUnit>,
     /// The machines to be rented, by pool and role.
     pub(super) rentals: RentalPlan,
+    pub(super) rental_steps: RentalSteps,
 }
 
 impl<'a> ScalingPass<'a> {
@@ -144,6 +142,7 @@
             pool_counts: pool_counts(inputs.fleet),
             units: inputs.capacity_units(),
             rentals: RentalPlan::new(),
+            rental_steps: RentalSteps::default(),
         }
     }
 
@@ -174,6 +173,9 @@
         for round in 0..ALLOCATION_ROUNDS {
             let mut position = 0;
             while let Some(unit) = self.units.get_mut(position) {
+                if uncovered.is_covered() {
+                    return;
+                }
                 position += 1;
                 if requirements.allocation_round(class, unit, large_share) == Some(round)
                     && requirements.allows(class, unit)
--- a/src/autoscaler/demand.rs
+++ b/src/autoscaler/demand.rs
@@ -2,7 +2,7 @@
 
 use super::ScalingInputs;
 use super::arrival_forecast::ArrivalForecast;
-use super::coverage::LOW_PRICE_RATIO;
+use super::coverage::{LOW_PRICE_RATIO, TASKS_EPSILON};
 use super::job_classes::{JobClass, JobClasses};
 use crate::config::ObjectiveKind;
 use crate::jobs::class_key::class_key;
@@ -27,6 +27,12 @@
 /// The share of the start target within which large tasks are planned to start.
 const LARGE_START_TARGET_SHARE: f64 = 0.75;
 
+/// Machines are kept for arrivals within this time at the most, in seconds. Tasks that run for longer are not all there
+/// within it, however long their owners expect them to run.
+const ARRIVAL_HORIZON_S_MAX: f64 = 3600.0;
+/// The maximum demand of a class, in tasks: far more than any fleet holds, and few enough for exact sums.
+const DEMAND_TASKS_MAX: f64 = 1e9;
+
 /// The number of tasks of a class that the fleet should have machines for. Machines at a low price are demanded for
 /// every task that they help; machines at a higher price only for the tasks that would miss their target otherwise.
 #[derive(Debug, Clone, Copy)]
@@ -57,24 +63,37 @@
         self.rented_at_any_price -= tasks;
     }
 
-    /// Rounds the demand to whole tasks and bounds the demand at any price. The lower bound is one task while any is
+    /// Whether existing machines are needed for no more tasks.
+    pub(super) fn is_covered(&self) -> bool {
+        self.at_low_price <= TASKS_EPSILON && self.at_any_price <= TASKS_EPSILON
+    }
+
+    /// Rounds the demand to whole tasks and bounds it. The lower bound at any price is one task while any is
     /// unfinished: even a small backlog must run eventually. The upper bound is the demand at a low price: without
     /// it, an arrival burst at a cluster start demands three times as many machines.
     fn bounded(self, unfinished_tasks: f64) -> Self {
+        let at_low_price = self.at_low_price.min(DEMAND_TASKS_MAX);
         let bounded = |tasks: f64| {
             tasks
-                .min(self.at_low_price)
+                .min(at_low_price)
                 .round()
                 .max(unfinished_tasks.min(1.0))
         };
         Demand {
-            at_low_price: self.at_low_price.ceil(),
+            at_low_price: at_low_price.ceil(),
             at_any_price: bounded(self.at_any_price),
             rented_at_any_price: bounded(self.rented_at_any_price),
         }
     }
 }
 
+/// How fast running small tasks free machines.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Turnover {
+    /// CPUs that ending tasks release per second.
+    released_cpus_per_s: f64,
+}
+
 /// The arrival rate, run time and start target of a class.
 struct ClassLoad {
     /// The shortest boot time of the machine types that the class may use, in seconds.
@@ -85,7 +104,7 @@
     run_s: f64,
     /// Tasks that arrive per second.
     tasks_per_s: f64,
-    /// Tasks that run at the same time on average if each starts on arrival.
+    /// Tasks that run at the same time on average if each starts on arrival, within [`ARRIVAL_HORIZON_S_MAX`].
     concurrent_tasks: f64,
     /// Tasks that are pending or assigned.
     unfinished_tasks: f64,
@@ -146,7 +165,7 @@
     pub(super) fn demand_of(
         &self,
         class: &JobClass,
-        classes: &JobClasses,
+        turnover: Turnover,
         forecast: &ArrivalForecast,
     ) -> Demand {
         let load = self.class_load(class, forecast);
@@ -157,7 +176,7 @@
             demand.rented_at_any_price = tasks;
         }
         if load.has_short_start_target()
-            && !self.has_sufficient_turnover(class, classes, load.start_target_s)
+            && !self.has_sufficient_turnover(class, turnover, load.start_target_s)
         {
             let spare_ratio = self.config.tunables.spare_ratio;
             load.add_reserve(spare_ratio, class.tasks_per_job(), &mut demand);
@@ -174,7 +193,9 @@
         let run_s = class.expected_run_s();
         let jobs_per_s = forecast.expected_rate(&class_key(&class.spec), self.now);
         let tasks_per_s = jobs_per_s * class.tasks_per_job();
-        let mut concurrent_tasks = tasks_per_s * run_s;
+        let unfinished_tasks = class.assigned_tasks + class.pending_tasks;
+        let present_within_horizon = unfinished_tasks + tasks_per_s * ARRIVAL_HORIZON_S_MAX;
+        let mut concurrent_tasks = (tasks_per_s * run_s).min(present_within_horizon);
         if forecast.is_young(self.now) {
             // If all controllers crashed, the forecast has too few arrivals: the assigned tasks give a lower bound.
             concurrent_tasks = concurrent_tasks.max(class.assigned_tasks);
@@ -185,7 +206,7 @@
             run_s,
             tasks_per_s,
             concurrent_tasks,
-            unfinished_tasks: class.assigned_tasks + class.pending_tasks,
+            unfinished_tasks,
         }
     }
 
@@ -241,23 +262,27 @@
         }
     }
 
+    /// How fast the small tasks of all classes release CPUs.
+    pub(super) fn turnover(&self, classes: &JobClasses) -> Turnover {
+        let small = classes.values().filter(|c| !self.is_large(c));
+        Turnover {
+            released_cpus_per_s: small
+                .map(|c| c.assigned_tasks * c.task_resources.cpus / c.expected_run_s())
+                .sum(),
+        }
+    }
+
     /// Whether small tasks end so often that a job of a class starts in time even if all machines are in use. Such a
     /// job waits only for the jobs ahead of it in the scheduling order.
     fn has_sufficient_turnover(
         &self,
         class: &JobClass,
-        classes: &JobClasses,
+        turnover: Turnover,
         start_target_s: f64,
     ) -> bool {
-        if self.is_large(class) {
-            return false;
-        }
-        let small = classes.values().filter(|c| !self.is_large(c));
-        let released_cpus_per_s: f64 = small
-            .map(|c| c.assigned_tasks * c.task_resources.cpus / c.expected_run_s())
-            .sum();
-        released_cpus_per_s * start_target_s * TURNOVER_TARGET_SHARE
-            >= class.tasks_per_job() * class.task_resources.cpus
+        !self.is_large(class)
+            && turnover.released_cpus_per_s * start_target_s * TURNOVER_TARGET_SHARE
+                >= class.tasks_per_job() * class.task_resources.cpus
     }
 
     /// How many large tasks need machines at any price: the assigned ones, and those that the machines at a low price
--- a/src/autoscaler/job_classes.rs
+++ b/src/autoscaler/job_classes.rs
@@ -16,6 +16,9 @@
 /// The weight of the run time that job owners estimate, as a number of observed run times.
 const ESTIMATE_WEIGHT_RUNS: f64 = 20.0;
 
+/// Longer estimates of job owners count as this, in seconds (a year): sums and products of estimates stay finite.
+const ESTIMATE_S_MAX: f64 = 365.0 * 24.0 * 3600.0;
+
 /// The mean of each resource that a task requests.
 #[derive(Debug, Clone, Default)]
 struct MeanResources {
@@ -69,7 +72,7 @@
             tasks_per_job: DecayingMean::default(),
             estimated_run_s: DecayingMean::default(),
             deadline_s: DecayingMean::default(),
-            run_s: spec.estimate_s,
+            run_s: spec.estimate_s.min(ESTIMATE_S_MAX),
             pending_tasks: 0.0,
             assigned_tasks: 0.0,
             spec,
@@ -79,7 +82,8 @@
     /// Adds a job to the averages.
     fn add_job(&mut self, spec: &Submission) {
         self.tasks_per_job.add(f64::from(spec.tasks), MEAN_JOBS);
-        self.estimated_run_s.add(spec.estimate_s, MEAN_JOBS);
+        self.estimated_run_s
+            .add(spec.estimate_s.min(ESTIMATE_S_MAX), MEAN_JOBS);
         if let Some(deadline_s) = spec.deadline_s {
             self.deadline_s.add(deadline_s, MEAN_JOBS);
         }
@@ -154,8 +158,10 @@
 
     /// The expected run time of a job's tasks, in seconds: the owner's estimate if the class is unknown.
     pub(super) fn expected_run_s(&self, job: &Job) -> f64 {
-        self.get(&job.class)
-            .map_or(job.spec.estimate_s, JobClass::expected_run_s)
+        self.get(&job.class).map_or(
+            job.spec.estimate_s.min(ESTIMATE_S_MAX),
+            JobClass::expected_run_s,
+        )
     }
 
     /// Recounts the pending and assigned tasks of each class and updates the expected run times.
@@ -187,7 +193,7 @@
     /// fewest machine types.
     pub(super) fn in_scaling_order(&self, inputs: &ScalingInputs) -> Vec<JobClass> {
         let mut classes: Vec<JobClass> = self.values().cloned().collect();
-        classes.sort_by_key(|class| {
+        classes.sort_by_cached_key(|class| {
             let large = inputs.is_large(class);
             let options = inputs.catalog.options(&class.spec).len();
             (!large, options, class.spec.class.clone())
--- a/src/autoscaler/rentals.rs
+++ b/src/autoscaler/rentals.rs
@@ -8,15 +8,38 @@
 use super::pools::{PoolKey, RentalKey};
 use crate::fleet::MachineRole;
 use crate::fleet::machine_catalog::MachineOption;
-use crate::resources::tasks_that_fit;
+use crate::resources::{Resources, tasks_that_fit};
 
 /// A plan for more machines than this many requests is made of larger steps, so that the number of steps stays small.
 const REQUESTS_PER_STEP_MAX: f64 = 64.0;
+/// After this many steps in a pass, each further step takes all machines from one pool.
+const SMALL_STEPS_PER_PASS_MAX: u32 = 4096;
+/// The maximum number of units with machines to be rented that a pass keeps for the classes that follow. Those after them
+/// rent machines of their own.
+const RENTED_UNITS_MAX: u32 = 1024;
 
-/// The number of machines after which the next pool is chosen: those of one request to the cloud, or a share of a very
-/// large plan.
-fn batch_limit(machines_needed: f64) -> u32 {
-    MACHINES_PER_RENT_MAX.max((machines_needed / REQUESTS_PER_STEP_MAX) as u32)
+/// The steps in which the rentals of a pass are planned. They are few, however many machines and classes there are: all
+/// of them are made in one turn of the event loop.
+#[derive(Debug, Default)]
+pub(super) struct RentalSteps {
+    /// Steps of this pass.
+    steps: u32,
+    /// Units with machines to be rented that this pass has added.
+    pub(super) rented_units: u32,
+}
+
+impl RentalSteps {
+    /// The number of machines after which the next pool is chosen: those of one request to the cloud, or a share of a
+    /// very large plan. `previous` is that of the step before for the same demand.
+    fn next_batch(&mut self, machines_needed: f64, previous: u32) -> u32 {
+        self.steps = self.steps.saturating_add(1);
+        if self.steps > SMALL_STEPS_PER_PASS_MAX {
+            return u32::MAX;
+        }
+        MACHINES_PER_RENT_MAX
+            .max((machines_needed / REQUESTS_PER_STEP_MAX) as u32)
+            .max(previous)
+    }
 }
 
 /// A pool that machines could be rented from.
@@ -31,6 +54,13 @@
     rental_limit: Option<u32>,
 }
 
+/// Machines of a pool that are to be rented.
+struct PlannedRental {
+    offer: PoolOffer,
+    role: MachineRole,
+    machine_count: u32,
+}
+
 /// Uncovered demand of a class that machines are rented for.
 struct RentalNeed {
     tasks: f64,
@@ -47,6 +77,7 @@
         requirements: &ClassRequirements,
         uncovered: &mut Demand,
     ) {
+        let mut batch = 0;
         loop {
             let low_price_only = uncovered.at_low_price > TASKS_EPSILON
                 && uncovered.at_low_price > uncovered.at_any_price;
@@ -66,7 +97,16 @@
             }
             match self.cheapest_pool(class, requirements, &need) {
                 Some(offer) => {
-                    self.add_rentals(class, requirements.role, need.tasks, offer, uncovered)
+                    let machines_needed = (need.tasks / offer.tasks_per_machine).ceil();
+                    batch = self.rental_steps.next_batch(machines_needed, batch);
+                    let limit = offer.rental_limit.unwrap_or(u32::MAX).min(batch);
+                    let machine_count = machines_needed.min(f64::from(limit)) as u32;
+                    let rental = PlannedRental {
+                        offer,
+                        role: requirements.role,
+                        machine_count,
+                    };
+                    self.add_rentals(class, need.tasks, rental, uncovered);
                 }
                 None if low_price_only => uncovered.at_low_price = uncovered.at_any_price,
                 None => {
@@ -79,25 +119,40 @@
         }
     }
 
-    /// Adds machines of a pool to the planned rentals: enough for the tasks, or as many as may be requested.
+    /// Adds machines of a pool to the planned rentals, and subtracts what they cover from the demand for `tasks`.
     fn add_rentals(
         &mut self,
         class: &JobClass,
-        role: MachineRole,
         tasks: f64,
-        offer: PoolOffer,
+        rental: PlannedRental,
         uncovered: &mut Demand,
     ) {
-        let machines_needed = (tasks / offer.tasks_per_machine).ceil();
-        let limit = offer
-            .rental_limit
-            .unwrap_or(u32::MAX)
-            .min(batch_limit(machines_needed));
-        let machine_count = machines_needed.min(f64::from(limit)) as u32;
-        let pool = offer.pool;
-        let capacity = self.inputs.catalog.capacity(pool.type_index);
-        let unit_price = self.inputs.catalog.unit_price(pool.type_index, pool.spot);
+        let PlannedRental {
+            offer,
+            role,
+            machine_count,
+        } = rental;
         let tasks_on_each = offer.tasks_per_machine.min(tasks);
+        uncovered.subtract(tasks_on_each * f64::from(machine_count));
+        let pool = offer.pool;
+        if self.rental_steps.rented_units < RENTED_UNITS_MAX {
+            self.rental_steps.rented_units += 1;
+            let used = class.task_resources.times(tasks_on_each);
+            self.add_rented_unit(&pool, role, machine_count, used);
+        }
+        let planned = self.rentals.entry(RentalKey { pool, role }).or_insert(0);
+        *planned = planned.saturating_add(machine_count);
+    }
+
+    /// Adds machines to be rented to the units, so that the classes that follow can use what is left of them.
+    fn add_rented_unit(
+        &mut self,
+        pool: &PoolKey,
+        role: MachineRole,
+        machine_count: u32,
+        used: Resources,
+    ) {
+        let catalog = self.inputs.catalog;
         self.units.push(CapacityUnit {
             machine_index: None,
             machine_count,
@@ -106,8 +161,8 @@
                 spot: pool.spot,
             },
             zone: pool.zone.clone(),
-            free: capacity.minus(class.task_resources.times(tasks_on_each)),
-            unit_price,
+            free: catalog.capacity(pool.type_index).minus(used),
+            unit_price: catalog.unit_price(pool.type_index, pool.spot),
             used_share: 0.0,
             is_up: false,
             runs_large_tasks: false,
@@ -115,10 +170,6 @@
             highest_priority: None,
             planned_role: Some(role),
         });
-        for _ in 0..machine_count {
-            uncovered.subtract(tasks_on_each);
-        }
-        *self.rentals.entry(RentalKey { pool, role }).or_insert(0) += machine_count;
     }
 
     /// The pool in which machines for the need cost least, among those that may be asked for more machines. Of equally
@@ -192,14 +243,15 @@
     }
 
     fn pool_offer(&self, pool: PoolKey, cost: f64, tasks_per_machine: f64) -> PoolOffer {
-        let planned: u32 = [MachineRole::Shared, MachineRole::Large]
+        let planned = [MachineRole::Shared, MachineRole::Large]
             .into_iter()
             .filter_map(|role| {
                 let pool = pool.clone();
                 self.rentals.get(&RentalKey { pool, role })
             })
-            .sum();
-        let machine_count = self.pool_counts.get(&pool).copied().unwrap_or(0) + planned;
+            .fold(0u32, |planned, count| planned.saturating_add(*count));
+        let existing = self.pool_counts.get(&pool).copied().unwrap_or(0);
+        let machine_count = existing.saturating_add(planned);
         let rental_limit = self
             .pool_backoffs
             .get(&pool)
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -126,15 +126,25 @@
 
     /// As [`Self::elect`], with the given settings.
     pub fn elect_with(&mut self, config: Config, host: &str, now: Time) -> Leader {
+        let forecast = Rc::new(RefCell::new(ArrivalForecast::new(3.0, 120.0, now)));
+        self.elect_with_forecast(config, forecast, host, now)
+    }
+
+    /// As [`Self::elect_with`], with the forecast of the controller.
+    pub fn elect_with_forecast(
+        &mut self,
+        config: Config,
+        forecast: Rc<RefCell<ArrivalForecast>>,
+        host: &str,
+        now: Time,
+    ) -> Leader {
         let record = LeaderRecord {
             node: host.into(),
             incarnation: 1,
         };
         let fencing_token = self.put(keys::leader(), &record);
-        let config = Rc::new(config);
-        let forecast = Rc::new(RefCell::new(ArrivalForecast::new(3.0, 120.0, now)));
         Leader::start_term(
-            config,
+            Rc::new(config),
             fencing_token,
             Rc::new(types()),
             &self.replica(),
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -3,10 +3,12 @@
 mod allocation_meter;
 mod dependency_graph_examples;
 mod dependency_graphs;
+mod extreme_submissions;
 mod large_fleet;
 mod memory;
 pub(crate) mod production;
 mod random_faults;
 mod scenarios;
+mod simulated_fleet;
 mod state_limits;
 mod stored_formats;
