Bound the work of a scheduling pass by candidates and tasks, not by waiting jobs

What callers would see: with many jobs at once the leader's turn takes as long as its lease. Found by asking the class of the fault before: a number that users choose sets the work of one turn of the event loop.

Cause: a pass visits every candidate machine for every waiting job, and selects machines for each task of a gang before it knows that they don't suffice.

Change: a pass ends after 1e6 visits and placed tasks; the next one leaves out the jobs that were visited, but for the gang that reserves machines. A gang is given up when the room of all its machines together is too small.

Evidence: a_scheduling_pass_over_many_jobs_and_machines_ends_early_and_the_next_ones_go_on failed before (0 of 1,000 jobs left after one pass). a_job_behind_many_gangs_that_fit_nowhere_is_placed passed before, too: it guards the early end.

--- a/src/leader/scheduling.rs
+++ b/src/leader/scheduling.rs
@@ -23,21 +23,36 @@
         if pass.has_no_candidates() {
             return;
         }
-        for index in self.scheduling_order(now) {
-            let Some(assignments) = pass.place(&self.scheduling_view(now), index) else {
-                continue;
-            };
-            self.assign_all(index, &assignments, now);
-            if self.jobs[&index].pending_tasks() == 0 {
-                self.dequeue(index);
+        let reached_end = self.scheduling_order(now).iter().all(|index| {
+            if pass.is_work_used_up() {
+                return false;
             }
+            self.place_job(&mut pass, *index, now);
+            self.scheduler.visited_jobs.insert(*index);
+            true
+        });
+        if reached_end {
+            self.scheduler.visited_jobs.clear();
+        } else {
+            self.request_scheduling_pass();
         }
         self.scheduler.waits_for_writes = pass.waits_for_writes();
     }
 
-    /// The waiting jobs in the order in which they are placed.
+    /// Places as many tasks of a job as the pass allows.
+    fn place_job(&mut self, pass: &mut SchedulingPass, index: JobIndex, now: Time) {
+        let Some(assignments) = pass.place(&self.scheduling_view(now), index) else {
+            return;
+        };
+        self.assign_all(index, &assignments, now);
+        if self.jobs[&index].pending_tasks() == 0 {
+            self.dequeue(index);
+        }
+    }
+
+    /// The waiting jobs that the next pass visits, in the order in which they are placed.
     pub(crate) fn scheduling_order(&self, now: Time) -> Vec<JobIndex> {
-        self.scheduling_view(now).scheduling_order()
+        self.scheduling_view(now).remaining_order()
     }
 
     /// Recounts the machines that hold each image.
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -39,6 +39,9 @@
     pub(crate) waiting_jobs: BTreeSet<JobIndex>,
     /// Whether a scheduling pass should run because of a change since the last one.
     pub(crate) scheduling_pass_requested: bool,
+    /// The jobs that passes have visited since the last one that reached the end of the order. A pass that ends early is
+    /// continued by the next one, which leaves these out.
+    pub(crate) visited_jobs: BTreeSet<JobIndex>,
     /// Whether the last pass left tasks unplaced because too many decisions wait to be stored.
     pub(crate) waits_for_writes: bool,
     /// The fraction of the schedulable machines that have or fetch each image, as of the last update.
@@ -52,6 +55,7 @@
             pricing_rule: PricingRule::new(tunables.rho, tunables.large_share),
             waiting_jobs: BTreeSet::new(),
             scheduling_pass_requested: true,
+            visited_jobs: BTreeSet::new(),
             waits_for_writes: false,
             image_prevalence: ImagePrevalence::default(),
         }
--- a/src/scheduler/gangs.rs
+++ b/src/scheduler/gangs.rs
@@ -65,9 +65,19 @@
         candidates: &[CandidateMachine],
         zone: Option<&Rc<str>>,
     ) -> Option<Vec<Selection>> {
+        let demand = job.task_resources();
         let mut zones = ZoneConstraint::new(&job.spec, HashMap::new());
         let is_in_zone =
             |candidate: &CandidateMachine| zone.is_none_or(|zone| *zone == candidate.zone);
+        // Selecting machines for tens of thousands of tasks in vain takes long.
+        let may_hold =
+            |candidate: &CandidateMachine| candidate.load.tasks_that_may_be_added(demand);
+        let suitable = candidates
+            .iter()
+            .filter(|candidate| is_in_zone(candidate) && candidate.is_allowed_by(&job.spec));
+        if suitable.map(may_hold).sum::<f64>() < f64::from(job.spec.tasks) {
+            return None;
+        }
         let mut queue = self.candidate_queue(job, candidates, is_in_zone);
         let mut selections = Vec::new();
         while selections.len() < job.spec.tasks as usize {
--- a/src/scheduler/order.rs
+++ b/src/scheduler/order.rs
@@ -47,7 +47,7 @@
     /// Returns the waiting jobs in the order in which they are placed: by priority, then gangs in their reservation
     /// window before other jobs, then jobs within their team's guarantee, then arrays that are held up, then by latest start (delayed for the size),
     /// then by acceptance. Jobs in backoff are left out.
-    pub(crate) fn scheduling_order(&self) -> Vec<JobIndex> {
+    fn scheduling_order(&self) -> Vec<JobIndex> {
         let within_guarantee = self.jobs_within_guarantee();
         let machines = self.fleet.machines.values();
         let fleet_cpus: f64 = machines.map(|m| m.capacity.cpus).sum();
@@ -72,6 +72,21 @@
         keys.into_iter().map(|key| key.index).collect()
     }
 
+    /// Returns the jobs that the next pass visits, in the order in which they are placed: those that the passes before it
+    /// have not reached, if they ended early. The first gang in its reservation window is visited in each pass, because
+    /// a reservation lasts for one pass only.
+    pub(crate) fn remaining_order(&self) -> Vec<JobIndex> {
+        let visited = &self.scheduler.visited_jobs;
+        let mut order = self.scheduling_order();
+        if visited.is_empty() {
+            return order;
+        }
+        let is_reserving = |index: &&JobIndex| self.is_in_reservation_window(&self.jobs[*index]);
+        let reserving = order.iter().find(is_reserving).copied();
+        order.retain(|index| !visited.contains(index) || Some(*index) == reserving);
+        order
+    }
+
     /// Returns the jobs that their team's guarantee covers. Each guarantee is granted to the team's jobs in the order
     /// of acceptance; jobs that ended or are blocked take no part of it.
     fn jobs_within_guarantee(&self) -> HashSet<JobIndex> {
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -94,6 +94,10 @@
     }
 }
 
+/// The maximum number of candidate machines that one pass visits, summed over its jobs, and of tasks that it places. A
+/// pass is one turn of the event loop, so its work must not grow with the number of waiting jobs.
+const WORK_PER_PASS_MAX: usize = 1_000_000;
+
 /// One pass over the waiting jobs. It tracks the load of the candidate machines, its own decisions included.
 pub(crate) struct SchedulingPass {
     candidates: Vec<CandidateMachine>,
@@ -101,6 +105,8 @@
     free_attempts: FreeAttempts,
     /// Whether machines are already reserved for a gang. A pass reserves machines for at most one gang.
     has_gang_reservation: bool,
+    /// What is left of [`WORK_PER_PASS_MAX`].
+    work_left: usize,
 }
 
 impl SchedulingPass {
@@ -119,9 +125,16 @@
             failed: Vec::new(),
             free_attempts: FreeAttempts::new(view, unstored),
             has_gang_reservation: false,
+            work_left: WORK_PER_PASS_MAX,
         }
     }
 
+    /// Whether the pass has done as much as one turn of the event loop may take. The jobs after it are left to the next
+    /// pass.
+    pub(crate) fn is_work_used_up(&self) -> bool {
+        self.work_left == 0
+    }
+
     /// Whether the pass has no candidate machines. In this case, no schedulable machine has enough free capacity for
     /// any pending task.
     pub(crate) fn has_no_candidates(&self) -> bool {
@@ -133,6 +146,10 @@
         self.free_attempts.wait_for_writes()
     }
 
+    fn use_work(&mut self, work: usize) {
+        self.work_left = self.work_left.saturating_sub(work);
+    }
+
     /// Chooses machines for the pending tasks of a job. Returns None if the job is not tried because a similar one
     /// failed earlier in this pass.
     ///
@@ -149,6 +166,8 @@
         if self.failed.iter().any(implies_failure) {
             return None;
         }
+        let gang_tasks = if job.is_gang() { job.spec.tasks } else { 0 };
+        self.use_work(self.candidates.len() + gang_tasks as usize);
         let placement = if !job.is_gang() {
             let tasks_max = self.free_attempts.for_array(index, job.live_attempts);
             view.place_array(index, tasks_max, &mut self.candidates)
@@ -158,6 +177,9 @@
             Placement::default()
         };
         self.free_attempts.take(placement.assignments.len());
+        if !job.is_gang() {
+            self.use_work(placement.assignments.len());
+        }
         if let Some(unplaced_reason) = placement.unplaced_reason {
             if !job.is_gang() {
                 let unplaced_tasks = job.pending_tasks() - placement.assignments.len() as u32;
--- a/src/scheduler/pricing.rs
+++ b/src/scheduler/pricing.rs
@@ -5,7 +5,7 @@
 //! the reciprocal of the weight of the task's job. A task goes to the machine where its cost is least, and is refused
 //! where the cost is 1 or more.
 
-use crate::resources::Resources;
+use crate::resources::{Resources, tasks_that_fit};
 
 /// The rule with its constants.
 #[derive(Debug, Clone, Copy)]
@@ -34,6 +34,11 @@
     pub fn free(&self) -> Resources {
         self.capacity.minus(self.used)
     }
+
+    /// How many more tasks of this demand the machine may hold.
+    pub(super) fn tasks_that_may_be_added(&self, demand: Resources) -> f64 {
+        tasks_that_fit(demand, self.free()).min(f64::from(self.free_attempts))
+    }
 }
 
 impl PricingRule {
--- a/src/tests/extreme_submissions.rs
+++ b/src/tests/extreme_submissions.rs
@@ -128,3 +128,50 @@
         spec.deadline_s = Some(0.0);
     });
 }
+
+/// A pass visited every candidate machine for every waiting job in one turn of the event loop.
+#[test]
+fn a_scheduling_pass_over_many_jobs_and_machines_ends_early_and_the_next_ones_go_on() {
+    const MACHINES: usize = 2_000;
+    const WAITING_JOBS: usize = 1_000;
+    let mut fleet = SimulatedFleet::new(config(), &[]);
+    for number in 0..MACHINES {
+        fleet.add_machine("small", ["north", "south"][number % 2]);
+    }
+    for _ in 0..3 {
+        fleet.run_round();
+    }
+    fleet.submit_all((0..WAITING_JOBS).map(|number| job(&format!("j-{number}"), 1)));
+    fleet.leader.schedule(fleet.now);
+    let waiting = fleet.leader.scheduler.waiting_jobs.len();
+    assert!(waiting > 0 && waiting < WAITING_JOBS, "{waiting}");
+    // The jobs that the pass has not reached don't wait for the next change in the fleet.
+    for _ in 0..4 {
+        fleet.leader.schedule(fleet.now);
+    }
+    assert_eq!(fleet.leader.scheduler.waiting_jobs.len(), 0);
+}
+
+/// An early end must not leave the jobs at the end of the order to wait for ever behind jobs that can't be placed.
+#[test]
+fn a_job_behind_many_gangs_that_fit_nowhere_is_placed() {
+    let mut fleet = SimulatedFleet::new(config(), &[]);
+    for zone in ["north", "south"] {
+        fleet.add_machine("small", zone);
+    }
+    for _ in 0..3 {
+        fleet.run_round();
+    }
+    fleet.submit_all((0..JOBS).map(|number| Submission {
+        kind: JobKind::Gang,
+        // Each is smaller than the one before it, so that the failure of one doesn't imply that of the next.
+        cpus: 0.001,
+        memory_gb: 0.001,
+        ..job(&format!("j-9{number:04}"), 60_000 - number as u32)
+    }));
+    fleet.submit(&Submission {
+        priority: Priority::Low,
+        ..job("j-1", 4)
+    });
+    assert!(fleet.run_until(START_S_MAX, |fleet| fleet.started_tasks("j-1") == 4));
+}
--- a/src/tests/simulated_fleet.rs
+++ b/src/tests/simulated_fleet.rs
@@ -11,6 +11,7 @@
 use crate::leader::Leader;
 use crate::protocol::cloud::RentRequest;
 use crate::protocol::users::Submission;
+use crate::protocol::workers::TaskState;
 use crate::test_support::{FakeStore, FakeWorker};
 
 pub(super) struct SimulatedFleet {
@@ -20,6 +21,8 @@
     pub(super) workers: Vec<FakeWorker>,
     /// How many more machines the cloud rents out, by machine type. It has none of other types.
     pub(super) capacity: Vec<(&'static str, usize)>,
+    /// The tasks of this job are launched, but never get their image.
+    pub(super) fetching_job: Option<&'static str>,
     /// Names of the tasks that were started.
     pub(super) started: HashSet<String>,
     pub(super) now: f64,
@@ -37,6 +40,7 @@
             forecast,
             workers: Vec::new(),
             capacity: capacity.to_vec(),
+            fetching_job: None,
             started: HashSet::new(),
             now: 0.0,
             rented: 0,
@@ -51,11 +55,21 @@
     }
 
     pub(super) fn submit(&mut self, spec: &Submission) {
-        self.store.submit(spec);
-        self.record_arrival(spec);
-        let stored = self.store.replica().jobs[spec.id.as_str()].clone();
-        let id = spec.id.as_str().into();
-        self.leader.add_stored_job(&id, &stored, self.now);
+        self.submit_all([spec.clone()]);
+    }
+
+    pub(super) fn submit_all(&mut self, specs: impl IntoIterator<Item = Submission>) {
+        let specs: Vec<Submission> = specs.into_iter().collect();
+        for spec in &specs {
+            self.store.submit(spec);
+            self.record_arrival(spec);
+        }
+        let replica = self.store.replica();
+        for spec in &specs {
+            let id = spec.id.as_str().into();
+            let stored = &replica.jobs[spec.id.as_str()];
+            self.leader.add_stored_job(&id, stored, self.now);
+        }
     }
 
     /// Counts an arrival, as every controller does.
@@ -70,7 +84,13 @@
         self.leader.record_worker_contact(self.now);
         for worker in &mut self.workers {
             worker.send_heartbeat(&mut self.leader, self.now);
-            self.started.extend(worker.running());
+            for status in &mut worker.heartbeat.tasks {
+                if is_task_of(&status.task, self.fetching_job) {
+                    status.state = TaskState::Fetching;
+                } else if status.state == TaskState::Running {
+                    self.started.insert(status.task.clone());
+                }
+            }
         }
         self.leader.maintain_fleet(self.now);
         self.store.schedule_and_write(&mut self.leader, self.now);
@@ -91,9 +111,14 @@
 
     /// How many tasks of a job were ever started.
     pub(super) fn started_tasks(&self, id: &str) -> usize {
-        let prefix = format!("{id}/");
         let tasks = self.started.iter();
-        tasks.filter(|task| task.starts_with(&prefix)).count()
+        tasks.filter(|task| is_task_of(task, Some(id))).count()
+    }
+
+    /// How many tasks of a job are on machines, whatever their state.
+    pub(super) fn launched_tasks(&self, id: &str) -> usize {
+        let tasks = self.workers.iter().flat_map(|w| &w.heartbeat.tasks);
+        tasks.filter(|t| is_task_of(&t.task, Some(id))).count()
     }
 
     fn answer_cloud_calls(&mut self) {
@@ -134,3 +159,7 @@
         )
     }
 }
+
+fn is_task_of(task: &str, id: Option<&str>) -> bool {
+    task.split_once('/').is_some_and(|(job, _)| Some(job) == id)
+}
