Let a fetch in progress delay other images by their own time only

Cause: the leader's model let fetches run one after the other, and a task whose image comes much later than on an idle machine waits for another machine. By the protocol, images fetched at the same time share the rate: a fetch is slowed down by each other one, but not by how large it is.

Change: a fetch takes its own time once for each one in progress at most, and no longer than one after the other. For images of equal size nothing changes.

Evidence: ordinary_jobs_start_on_machines_that_fetch_the_largest_image failed before ('beside images of 700 GB').

--- a/src/scheduler/image_cache.rs
+++ b/src/scheduler/image_cache.rs
@@ -56,8 +56,20 @@
         self.images.iter().map(|image| &image.name)
     }
 
+    /// Seconds that the fetch of another image takes, if it takes `uncontended_s` alone. Fetches share the rate of the
+    /// machine, so however large the other images are, each of them slows it down by no more than its own time.
+    pub fn new_fetch_s(&self, uncontended_s: f64, now: Time) -> f64 {
+        let is_in_progress = |image: &&CachedImage| match image.state {
+            ImageState::Present => false,
+            ImageState::Fetching { due } => due > now,
+        };
+        let in_progress = self.images.iter().filter(is_in_progress).count();
+        let one_after_the_other_s = self.fetch_backlog_s(now) + uncontended_s;
+        one_after_the_other_s.min(uncontended_s * (in_progress + 1) as f64)
+    }
+
     /// Seconds until the fetches requested so far are complete.
-    pub fn fetch_backlog_s(&self, now: Time) -> f64 {
+    fn fetch_backlog_s(&self, now: Time) -> f64 {
         let due = self.images.iter().filter_map(|image| match image.state {
             ImageState::Present => None,
             ImageState::Fetching { due } => Some(due),
@@ -78,7 +90,7 @@
             name: name.into(),
             size_gb,
             state: ImageState::Fetching {
-                due: now + self.fetch_backlog_s(now) + uncontended_fetch_s(size_gb, capacity),
+                due: now + self.new_fetch_s(uncontended_fetch_s(size_gb, capacity), now),
             },
         });
         let mut total_gb: f64 = self.images.iter().map(|image| image.size_gb).sum();
--- a/src/scheduler/image_locality.rs
+++ b/src/scheduler/image_locality.rs
@@ -166,7 +166,7 @@
             is_requested: remaining_s.is_some(),
             uncontended_s,
             total_s: remaining_s
-                .unwrap_or_else(|| machine.image_cache.fetch_backlog_s(self.now) + uncontended_s),
+                .unwrap_or_else(|| machine.image_cache.new_fetch_s(uncontended_s, self.now)),
         };
         if policy.is_too_long(fetch) {
             return None;
--- a/src/tests/extreme_submissions.rs
+++ b/src/tests/extreme_submissions.rs
@@ -175,3 +175,32 @@
     });
     assert!(fleet.run_until(START_S_MAX, |fleet| fleet.started_tasks("j-1") == 4));
 }
+
+/// The fetch of a large image was taken to delay all other fetches of its machine until it ends.
+#[test]
+fn ordinary_jobs_start_on_machines_that_fetch_the_largest_image() {
+    for image_gb in [700.0, f64::MAX] {
+        let mut fleet = SimulatedFleet::new(config(), &[]);
+        for zone in ["north", "south", "north", "south"] {
+            fleet.add_machine("small", zone);
+        }
+        for _ in 0..3 {
+            fleet.run_round();
+        }
+        fleet.fetching_job = Some("j-90000");
+        fleet.submit(&Submission {
+            image: "huge".into(),
+            image_gb,
+            cpus: 5.0,
+            priority: Priority::Low,
+            ..job("j-90000", 4)
+        });
+        assert!(fleet.run_until(START_S_MAX, |fleet| fleet.launched_tasks("j-90000") == 4));
+        fleet.submit(&Submission {
+            priority: Priority::Production,
+            ..job("j-1", 4)
+        });
+        let started = fleet.run_until(START_S_MAX, |fleet| fleet.started_tasks("j-1") == 4);
+        assert!(started, "beside images of {image_gb} GB");
+    }
+}
