Count machines for gangs by every bound that the scheduler has

Cause: a machine gets as many attempts as its heartbeats can list, 517 of tiny tasks; demand, rentals, returns, the choice of zones and the reservation for a gang counted resources alone. Related, by the same class: the demand at a high price counts tasks that run one after the other, but a gang needs all at once; gangs above the bound on attempts by memory were accepted; services hold the attempts that a gang waits for. Excluded: placement over several machines (1,500 tasks start).

Change: FreeCapacity holds what a machine has left, resources and attempts, and all of these ask it. Each gang that has waited for half of four minutes is covered by itself at any price. Services leave 5/16 of the attempts to gangs; a larger gang gets 422, after a read barrier, as another version may have accepted it; a gang in its reservation window keeps the attempts that become free.

Evidence: src/tests/gang_machines.rs, seven of eight failed before: 0 of 3,000 tasks (any zone, one zone, spread), 2,000 of 4,000 of eight classes, 0 of 40 at a high price, 0 of 4,882 beside services, the largest gang not refused. The eighth (a class with larger tasks on average) passed before and stays as a guard.

Tried and given up (trials): counting arrays of tiny tasks by attempts, too.

--- a/src/autoscaler/capacity_units.rs
+++ b/src/autoscaler/capacity_units.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Machine, MachineRole};
 use crate::jobs::MachineIndex;
 use crate::protocol::users::Priority;
-use crate::resources::Resources;
+use crate::scheduler::attempt_limits::FreeCapacity;
 
 /// A machine in one scaling pass: up, booting or to be rented. Equal machines to be rented are one unit.
 #[derive(Clone)]
@@ -21,8 +21,8 @@
     pub(super) option: MachineOption,
     pub(super) zone: Rc<str>,
     /// The capacity that this pass has not allocated yet. At the start of a pass that is the whole machine, whatever
-    /// runs on it.
-    pub(super) free: Resources,
+    /// runs on it, but for the attempts that have completed and that its worker still lists.
+    pub(super) free: FreeCapacity,
     /// The price per CPU and hour.
     pub(super) unit_price: f64,
     /// The dominant share of the resources that are in use now.
@@ -103,7 +103,10 @@
                 spot: machine.spot,
             },
             zone: machine.zone.clone(),
-            free: capacity,
+            free: FreeCapacity {
+                attempts: machine.free_attempts_without_unfinished(),
+                ..FreeCapacity::of_empty_machine(capacity)
+            },
             unit_price: self.catalog.unit_price(type_index, machine.spot),
             used_share: machine.used.largest_share(capacity),
             is_up: machine.is_up(),
--- a/src/autoscaler/coverage.rs
+++ b/src/autoscaler/coverage.rs
@@ -10,7 +10,6 @@
 use super::rentals::RentalSteps;
 use crate::fleet::MachineRole;
 use crate::fleet::machine_catalog::MachineOption;
-use crate::resources::tasks_that_fit;
 
 /// Machines are at a low price for a class if their price per CPU is at most this multiple of the lowest price per CPU
 /// among the machine types that the class may use.
@@ -53,7 +52,7 @@
     /// How many tasks of the uncovered demand a machine is allocated to; 0 if the demand or the machine has no more.
     fn tasks_for(&self, class: &JobClass, unit: &CapacityUnit, uncovered: &Demand) -> f64 {
         let demanded_tasks = self.demanded_tasks(unit, uncovered);
-        let fitting_tasks = tasks_that_fit(class.task_resources, unit.free);
+        let fitting_tasks = class.tasks_on(&unit.free);
         if demanded_tasks <= TASKS_EPSILON || fitting_tasks < 1.0 {
             return 0.0;
         }
@@ -74,7 +73,7 @@
         }
         let equal_machines = self.allocate_equally(unit, tasks, uncovered);
         let rest = unit.split_off(equal_machines);
-        unit.free = unit.free.minus(class.task_resources.times(tasks));
+        unit.free = unit.free.after(class.task_resources, tasks);
         unit.planned_role = Some(self.role);
         rest
     }
--- a/src/autoscaler/exceptions.rs
+++ b/src/autoscaler/exceptions.rs
@@ -9,8 +9,8 @@
 use super::job_classes::{JobClass, JobClasses};
 use super::{PoolKey, ScalingInputs};
 use crate::jobs::Job;
-use crate::resources::tasks_that_fit;
 use crate::scheduler::LARGE_JOB_START_TARGET_S;
+use crate::scheduler::attempt_limits::FreeCapacity;
 
 /// A job that has not started any task after this share of [`LARGE_JOB_START_TARGET_S`] is examined as an outlier.
 const OUTLIER_WAIT_SHARE: f64 = 0.5;
@@ -88,10 +88,8 @@
         }
         for unit in self.units.iter().filter(|u| options.contains(&u.option)) {
             if let Some(zone_capacity) = capacity.get_mut(&*unit.zone) {
-                let tasks_on_each = tasks_that_fit(
-                    job.task_resources(),
-                    catalog.capacity(unit.option.type_index),
-                );
+                let empty = FreeCapacity::of_empty_machine(unit.free.total);
+                let tasks_on_each = empty.tasks(job.task_resources());
                 *zone_capacity += tasks_on_each * f64::from(unit.machine_count);
             }
         }
@@ -139,9 +137,9 @@
     }
 
     /// Jobs that have waited for long without starting a task, and whose requirements the averages of their class don't
-    /// show: tasks that are larger than average, gangs that must run in a single zone although their class may use
-    /// several, and gangs that must be spread over zones. By the averages there is capacity for such a job all the
-    /// time, so nothing is rented for it and it never starts.
+    /// show: tasks that are larger than average, and gangs, whose tasks need machines at the same time and perhaps in
+    /// certain zones. By the averages there is capacity for such a job all the time, so nothing is rented for it and it
+    /// never starts.
     fn outliers(&self, classes: &JobClasses, pass: &ScalingPass) -> Vec<ClassException> {
         let has_waited_too_long = |job: &&Job| {
             let has_started = job.assigned_tasks + job.done_tasks > 0;
@@ -186,7 +184,8 @@
     };
     let tasks = job.pending_tasks();
     match pass.zones_for_gang(job).as_slice() {
-        [] if job.task_resources().fits(class.task_resources) => Vec::new(),
+        // All tasks of a gang need machines at once, whatever the average of the class or the price of the machines.
+        [] if !job.is_gang() && job.task_resources().fits(class.task_resources) => Vec::new(),
         [] => vec![subclass(None, tasks)],
         [zone] => vec![subclass(Some(zone.clone()), tasks)],
         [first, second, ..] => vec![
--- a/src/autoscaler/job_classes.rs
+++ b/src/autoscaler/job_classes.rs
@@ -9,8 +9,9 @@
 use crate::jobs::class_key::class_key;
 use crate::jobs::job_table::JobTable;
 use crate::jobs::{Job, JobIndex, task_resources};
-use crate::protocol::users::{Priority, Submission};
-use crate::resources::Resources;
+use crate::protocol::users::{JobKind, Priority, Submission};
+use crate::resources::{Resources, tasks_that_fit};
+use crate::scheduler::attempt_limits::FreeCapacity;
 use crate::scheduler::pricing::PricingRule;
 
 /// The weight of the run time that job owners estimate, as a number of observed run times.
@@ -105,6 +106,18 @@
         self.tasks_per_job.get().unwrap_or(1.0)
     }
 
+    /// How many tasks of the class a machine with this free capacity counts for. The tasks of a gang run at the same time,
+    /// so each of them must have an attempt. Tasks of an array may run one after the other, and are counted by resources:
+    /// spread over as many machines as have attempts for all of them, they would take more memory when they complete
+    /// than they are measured by.
+    pub(super) fn tasks_on(&self, free: &FreeCapacity) -> f64 {
+        if self.spec.kind == JobKind::Gang {
+            free.tasks(self.task_resources)
+        } else {
+            tasks_that_fit(self.task_resources, free.resources)
+        }
+    }
+
     /// Subtracts tasks that are covered by machines, pending ones first.
     pub(super) fn subtract_tasks(&mut self, tasks: f64) {
         let pending = self.pending_tasks.min(tasks);
--- a/src/autoscaler/rentals.rs
+++ b/src/autoscaler/rentals.rs
@@ -8,7 +8,7 @@
 use super::pools::{PoolKey, RentalKey};
 use crate::fleet::MachineRole;
 use crate::fleet::machine_catalog::MachineOption;
-use crate::resources::{Resources, tasks_that_fit};
+use crate::scheduler::attempt_limits::FreeCapacity;
 
 /// A plan for more machines than this many requests is made of larger steps, so that the number of steps stays small.
 const REQUESTS_PER_STEP_MAX: f64 = 64.0;
@@ -137,8 +137,10 @@
         let pool = offer.pool;
         if self.rental_steps.rented_units < RENTED_UNITS_MAX {
             self.rental_steps.rented_units += 1;
-            let used = class.task_resources.times(tasks_on_each);
-            self.add_rented_unit(&pool, role, machine_count, used);
+            let capacity = self.inputs.catalog.capacity(pool.type_index);
+            let empty = FreeCapacity::of_empty_machine(capacity);
+            let free = empty.after(class.task_resources, tasks_on_each);
+            self.add_rented_unit(&pool, role, machine_count, free);
         }
         let planned = self.rentals.entry(RentalKey { pool, role }).or_insert(0);
         *planned = planned.saturating_add(machine_count);
@@ -150,7 +152,7 @@
         pool: &PoolKey,
         role: MachineRole,
         machine_count: u32,
-        used: Resources,
+        free: FreeCapacity,
     ) {
         let catalog = self.inputs.catalog;
         self.units.push(CapacityUnit {
@@ -161,7 +163,7 @@
                 spot: pool.spot,
             },
             zone: pool.zone.clone(),
-            free: catalog.capacity(pool.type_index).minus(used),
+            free,
             unit_price: catalog.unit_price(pool.type_index, pool.spot),
             used_share: 0.0,
             is_up: false,
@@ -187,7 +189,8 @@
             let MachineOption { type_index, spot } = *option;
             let machine_type = &self.inputs.catalog[type_index];
             let capacity = self.inputs.catalog.capacity(type_index);
-            let tasks_per_machine = tasks_that_fit(class.task_resources, capacity);
+            let empty = FreeCapacity::of_empty_machine(capacity);
+            let tasks_per_machine = class.tasks_on(&empty);
             let unit_price = self.inputs.catalog.unit_price(type_index, spot);
             if tasks_per_machine < 1.0
                 || need
--- a/src/controller/users/submission_checks.rs
+++ b/src/controller/users/submission_checks.rs
@@ -7,6 +7,7 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::json::from_object;
 use crate::protocol::users::{JobKind, Submission};
+use crate::scheduler::attempt_limits::gang_tasks_max;
 
 /// Maximum number of tasks of a job, set by the protocol.
 const TASKS_MAX: u32 = 100_000;
@@ -55,6 +56,9 @@
     /// The tasks that must run at the same time exceed the team's limit.
     #[error("more than the team's limit")]
     TeamLimit,
+    /// The gang has more tasks than the controllers can hold at the same time.
+    #[error("more than {0} tasks at the same time")]
+    GangTasks(u32),
 }
 
 /// Why a job's dependencies can never be done. Users get these texts as the answer.
@@ -156,6 +160,10 @@
     if exceeds(job.cpus, team.cpus_max) || exceeds(job.gpus, team.gpus_max) {
         return Some(Infeasibility::TeamLimit);
     }
+    let gang_tasks_max = gang_tasks_max(&config.deployment);
+    if job.kind == JobKind::Gang && job.tasks > gang_tasks_max {
+        return Some(Infeasibility::GangTasks(gang_tasks_max));
+    }
     None
 }
 
--- a/src/controller/users/submissions.rs
+++ b/src/controller/users/submissions.rs
@@ -6,7 +6,7 @@
 use crate::controller::users::job_creation::job_creation;
 use crate::controller::users::requests::STATE_UNKNOWN;
 use crate::controller::users::submission_checks::{
-    DependencyError, infeasibility, parse_submission,
+    DependencyError, Infeasibility, infeasibility, parse_submission,
 };
 use crate::controller::{Controller, RETRY_AFTER_S};
 use crate::http::Response;
@@ -56,7 +56,12 @@
             };
         }
         if let Some(reason) = infeasibility(&job, &self.config, &types) {
-            return Response::error(422, &reason.to_string());
+            let refusal = Response::error(422, &reason.to_string());
+            return match reason {
+                // Another controller, whose memory allows more or whose version is earlier, may have accepted the job.
+                Infeasibility::GangTasks(_) => self.refuse_unless_known(&job, refusal).await,
+                _ => refusal,
+            };
         }
         if !job.waits_on.is_empty() {
             // The replica may lag behind the store: whether this job or one of its dependencies was accepted is known
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -12,6 +12,7 @@
 use crate::protocol::workers::TaskState;
 use crate::resources::Resources;
 use crate::runtime::Time;
+use crate::scheduler::attempt_limits::ATTEMPTS_PER_MACHINE_MAX;
 use crate::scheduler::image_cache::ImageCache;
 
 /// Which tasks a machine is kept for.
@@ -224,6 +225,20 @@
             .any(|a| !a.completed && a.resources.largest_share(self.capacity) > share)
     }
 
+    /// How many more attempts the machine may hold, so that its heartbeats can list them all.
+    pub(crate) fn free_attempts(&self) -> u32 {
+        let listed = u32::try_from(self.attempts.len()).unwrap_or(u32::MAX);
+        ATTEMPTS_PER_MACHINE_MAX.saturating_sub(listed)
+    }
+
+    /// How many attempts the machine may hold beside those that have completed.
+    pub(crate) fn free_attempts_without_unfinished(&self) -> u32 {
+        let unfinished = self.attempts.values().filter(|a| !a.completed).count();
+        let unfinished = u32::try_from(unfinished).unwrap_or(u32::MAX);
+        let free_attempts = self.free_attempts().saturating_add(unfinished);
+        free_attempts.min(ATTEMPTS_PER_MACHINE_MAX)
+    }
+
     /// Adds an attempt that is or may be on the machine.
     pub(crate) fn add_attempt(&mut self, key: AttemptKey, task_attempt: TaskAttempt) {
         if !task_attempt.completed {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -7,7 +7,7 @@
 //! the allowed machines ([`candidates`]) a task gets.
 
 mod arrays;
-mod attempt_limits;
+pub(crate) mod attempt_limits;
 pub(crate) mod candidate_queue;
 mod candidates;
 mod gangs;
--- a/src/scheduler/attempt_limits/tests.rs
+++ b/src/scheduler/attempt_limits/tests.rs
@@ -21,7 +21,7 @@
         sequence: u64::MAX,
         fencing_token: u64::MAX,
         preemption_notice_s: Some(1.0 / 3.0),
-        tasks: vec![longest; ATTEMPTS_PER_MACHINE_MAX],
+        tasks: vec![longest; ATTEMPTS_PER_MACHINE_MAX as usize],
     };
     assert!(serde_json::to_vec(&heartbeat).unwrap().len() <= BODY_BYTES_MAX);
 }
@@ -30,6 +30,7 @@
 fn some_attempts_are_left_however_many_arrays_take_all_they_may() {
     let mut attempts = FreeAttempts {
         in_memory: 90_000,
+        for_services: 90_000,
         to_be_stored: u32::MAX,
         reserve_user: None,
         reserve: 1000,
@@ -50,6 +51,7 @@
 fn only_the_array_with_the_most_completed_tasks_goes_on_when_memory_is_used_up() {
     let attempts = FreeAttempts {
         in_memory: 0,
+        for_services: 0,
         to_be_stored: u32::MAX,
         reserve_user: Some(3),
         reserve: 1000,
--- a/src/scheduler/candidate_queue.rs
+++ b/src/scheduler/candidate_queue.rs
@@ -7,7 +7,6 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use crate::resources::Resources;
-use crate::scheduler::attempt_limits::may_add_attempt;
 use crate::scheduler::pricing::{MachineLoad, PricingRule};
 
 /// The tier of a machine. Tiers take precedence over prices. The lowest tier comes first; fields are compared in this
@@ -140,7 +139,7 @@
         unit_price: f64,
         load: MachineLoad,
     ) {
-        if !may_add_attempt(self.demand, load.capacity, load.free_attempts) {
+        if load.tasks_that_may_be_added(self.demand) < 1.0 {
             return;
         }
         let Some(rank) = self.rule.selection_rank(self.demand, self.weight, &load) else {
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -8,7 +8,6 @@
 use crate::jobs::{Job, MachineIndex, priority_rank};
 use crate::protocol::users::{Priority, Submission};
 use crate::resources::Resources;
-use crate::scheduler::attempt_limits::ATTEMPTS_PER_MACHINE_MAX;
 use crate::scheduler::candidate_queue::{CandidateQueue, CandidateTier};
 use crate::scheduler::pass::SchedulingView;
 use crate::scheduler::pricing::MachineLoad;
@@ -83,7 +82,7 @@
             .iter()
             .filter(|(_, machine)| {
                 smallest.fits(machine.capacity.minus(machine.used))
-                    && machine.attempts.len() < ATTEMPTS_PER_MACHINE_MAX
+                    && machine.free_attempts() > 0
                     && self.fleet.is_schedulable(machine, self.now)
             })
             .filter_map(|(index, machine)| self.candidate(*index, machine))
@@ -108,8 +107,7 @@
                 capacity: machine.capacity,
                 used: machine.used,
                 price: machine.price,
-                free_attempts: ATTEMPTS_PER_MACHINE_MAX.saturating_sub(machine.attempts.len())
-                    as u32,
+                free_attempts: machine.free_attempts(),
             },
         })
     }
--- a/src/scheduler/gangs.rs
+++ b/src/scheduler/gangs.rs
@@ -7,8 +7,8 @@
 use crate::fleet::MachineRole;
 use crate::fleet::machine_catalog::is_type_allowed;
 use crate::jobs::{Job, JobIndex};
-use crate::resources::tasks_that_fit;
 use crate::scheduler::LARGE_JOB_START_TARGET_S;
+use crate::scheduler::attempt_limits::FreeCapacity;
 use crate::scheduler::candidate_queue::Selection;
 use crate::scheduler::candidates::{CandidateMachine, is_zone_and_spot_allowed};
 use crate::scheduler::pass::{Assignment, Placement, SchedulingView, UnplacedReason};
@@ -138,7 +138,8 @@
                     && is_zone_and_spot_allowed(&job.spec, machine.spot, &machine.zone)
             });
             if is_suitable && self.fleet.is_schedulable(machine, self.now) {
-                let tasks = tasks_that_fit(job.task_resources(), machine.capacity) as usize;
+                let empty = FreeCapacity::of_empty_machine(machine.capacity);
+                let tasks = empty.tasks(job.task_resources()) as usize;
                 *capacity_by_zone.entry(machine.zone.clone()).or_insert(0) += tasks;
             }
         }
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -9,7 +9,7 @@
 use crate::jobs::job_table::JobTable;
 use crate::jobs::team_usage::TeamUsage;
 use crate::jobs::{JobIndex, MachineIndex, task_resources};
-use crate::protocol::users::{Priority, Submission};
+use crate::protocol::users::{JobKind, Priority, Submission};
 use crate::resources::Resources;
 use crate::runtime::Time;
 use crate::scheduler::Scheduler;
@@ -169,11 +169,18 @@
         let gang_tasks = if job.is_gang() { job.spec.tasks } else { 0 };
         self.use_work(self.candidates.len() + gang_tasks as usize);
         let placement = if !job.is_gang() {
-            let tasks_max = self.free_attempts.for_array(index, job.live_attempts);
+            let tasks_max = if job.spec.kind == JobKind::Service {
+                self.free_attempts.for_service(index, job.live_attempts)
+            } else {
+                self.free_attempts.for_array(index, job.live_attempts)
+            };
             view.place_array(index, tasks_max, &mut self.candidates)
         } else if self.free_attempts.suffice_for_gang(job.spec.tasks) {
             view.place_gang(index, &mut self.candidates)
         } else {
+            if view.is_in_reservation_window(job) {
+                self.free_attempts.reserve_for_gang();
+            }
             Placement::default()
         };
         self.free_attempts.take(placement.assignments.len());
--- a/src/scheduler/pricing.rs
+++ b/src/scheduler/pricing.rs
@@ -5,7 +5,8 @@
 //! the reciprocal of the weight of the task's job. A task goes to the machine where its cost is least, and is refused
 //! where the cost is 1 or more.
 
-use crate::resources::{Resources, tasks_that_fit};
+use crate::resources::Resources;
+use crate::scheduler::attempt_limits::FreeCapacity;
 
 /// The rule with its constants.
 #[derive(Debug, Clone, Copy)]
@@ -35,9 +36,14 @@
         self.capacity.minus(self.used)
     }
 
-    /// How many more tasks of this demand the machine may hold.
+    /// How many more tasks of this demand the machine may get.
     pub(super) fn tasks_that_may_be_added(&self, demand: Resources) -> f64 {
-        tasks_that_fit(demand, self.free()).min(f64::from(self.free_attempts))
+        let free = FreeCapacity {
+            total: self.capacity,
+            resources: self.free(),
+            attempts: self.free_attempts,
+        };
+        free.tasks(demand)
     }
 }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -4,6 +4,7 @@
 mod dependency_graph_examples;
 mod dependency_graphs;
 mod extreme_submissions;
+mod gang_machines;
 mod large_fleet;
 mod memory;
 pub(crate) mod production;
--- a/src/tests/simulated_fleet.rs
+++ b/src/tests/simulated_fleet.rs
@@ -21,6 +21,8 @@
     pub(super) workers: Vec<FakeWorker>,
     /// How many more machines the cloud rents out, by machine type. It has none of other types.
     pub(super) capacity: Vec<(&'static str, usize)>,
+    /// Whether the cloud rents out spot machines.
+    pub(super) has_spot_machines: bool,
     /// The tasks of this job are launched, but never get their image.
     pub(super) fetching_job: Option<&'static str>,
     /// Names of the tasks that were started.
@@ -40,6 +42,7 @@
             forecast,
             workers: Vec::new(),
             capacity: capacity.to_vec(),
+            has_spot_machines: true,
             fetching_job: None,
             started: HashSet::new(),
             now: 0.0,
@@ -138,6 +141,9 @@
     }
 
     fn rent(&mut self, rent: &RentRequest) -> CloudAnswer {
+        if rent.spot && !self.has_spot_machines {
+            return CloudAnswer::NoCapacity;
+        }
         let mut pools = self.capacity.iter_mut();
         let Some((_, left)) = pools.find(|(name, left)| *name == rent.type_name && *left > 0)
         else {
