Keep directly launched attempts from being started again by late copies

What callers would see: a task of a cancelled job runs 58 s after the cancellation was confirmed, or a task runs on two machines.

Cause: an answered command was taken as over. (a) Completed attempts were forgotten, and a repeated start begins a forgotten attempt anew. (b) An attempt missing in a newer heartbeat of the same agent epoch was taken as gone, and moved. (c) Nothing noticed a worker that lost the exited attempts which it must not forget, or that began anew.

Change: (a) a directly launched attempt is not forgotten within the epoch; the leader drops it once its completion is stored. At most 16 are launched directly in an epoch, so heartbeats stay small, and those kept count against what they can hold. (b) Such an attempt stays bound and is launched there again. (c) The machine is returned, and its worker's lease is not renewed.

Test changed: a_direct_launch_is_sent_once_and_its_reply_counts_as_a_heartbeat said that the completed attempt is forgotten, which is the fault. It says now that the worker keeps it, that a copy starts nothing, that the leader holds no attempt, and that a new leader has it forgotten.

--- a/src/controller/tests/faults.rs
+++ b/src/controller/tests/faults.rs
@@ -3,6 +3,7 @@
 
 mod cancellations;
 mod connections;
+mod late_copies;
 mod late_messages;
 mod leader_changes;
 mod limits_and_zones;
--- a/src/controller/tests/world/workers.rs
+++ b/src/controller/tests/world/workers.rs
@@ -23,6 +23,17 @@
 /// Largest reply, in bytes, that a worker reads.
 const BODY_MAX: usize = 1024 * 1024;
 
+/// The body of a request with direct commands.
+#[derive(Clone, serde::Deserialize)]
+struct DirectCommandBody {
+    #[serde(rename = "Baton")]
+    fencing_token: u64,
+    #[serde(rename = "Shift")]
+    agent_epoch: u64,
+    #[serde(rename = "Orders")]
+    commands: Vec<Command>,
+}
+
 /// A machine with its worker.
 pub struct Worker {
     runtime: Runtime,
@@ -50,6 +61,8 @@
     pub heartbeats_blocked_until: Cell<Time>,
     /// Until then direct commands are delayed; they are executed afterwards.
     pub commands_held_until: Cell<Time>,
+    /// All direct commands that the worker executed and answered.
+    executed_commands: RefCell<Vec<DirectCommandBody>>,
     /// All heartbeats sent, including lost ones.
     pub sent_heartbeats: RefCell<Vec<Heartbeat>>,
     /// Until then heartbeats are delayed; they arrive afterwards.
@@ -112,13 +125,18 @@
         )
     }
 
+    /// Seconds until the next heartbeat is due.
+    pub fn next_heartbeat_in_s(&self) -> f64 {
+        self.heartbeat_at.get() - self.now()
+    }
+
     /// Returns whether the lease ever expired: the worker starts a new agent epoch each time.
     pub fn has_lost_a_lease(&self) -> bool {
         self.fake.borrow().heartbeat.agent_epoch > 1
     }
 
     /// Schedules a heartbeat within `CHANGE_DELAY_S`, because the tasks or the fencing token changed.
-    pub(super) fn schedule_heartbeat(&self, now: Time) {
+    pub fn schedule_heartbeat(&self, now: Time) {
         self.heartbeat_at
             .set(self.heartbeat_at.get().min(now + CHANGE_DELAY_S));
     }
@@ -158,6 +176,7 @@
             replies_lost_until: Cell::new(0.0),
             heartbeats_blocked_until: Cell::new(0.0),
             commands_held_until: Cell::new(0.0),
+            executed_commands: RefCell::default(),
             sent_heartbeats: RefCell::default(),
             heartbeats_held_until: Cell::new(0.0),
         });
@@ -332,16 +351,7 @@
     /// Answers a request with direct commands, and injects the faults that affect it. Rejects commands of a deposed
     /// leader and those for another agent epoch.
     async fn receive_direct_commands(&self, worker: &Rc<Worker>, request: &Request) -> Response {
-        #[derive(serde::Deserialize)]
-        struct RequestBody {
-            #[serde(rename = "Baton")]
-            fencing_token: u64,
-            #[serde(rename = "Shift")]
-            agent_epoch: u64,
-            #[serde(rename = "Orders")]
-            commands: Vec<Command>,
-        }
-        let command_request: RequestBody = serde_json::from_slice(&request.body).unwrap();
+        let command_request: DirectCommandBody = serde_json::from_slice(&request.body).unwrap();
         if self.now() < worker.replies_lost_until.get() {
             self.runtime.sleep(REPLY_TIMEOUT_S * 10.0).await;
             return Response::error(503, "lost");
@@ -367,25 +377,71 @@
         if worker.removed.get() {
             return Response::error(503, "gone");
         }
+        let response = self.execute_direct_commands(worker, &command_request);
+        if response.status == 200 {
+            worker.executed_commands.borrow_mut().push(command_request);
+        }
+        response
+    }
+
+    fn execute_direct_commands(
+        &self,
+        worker: &Rc<Worker>,
+        request: &DirectCommandBody,
+    ) -> Response {
         self.check_lease(worker);
         {
             let mut fake = worker.fake.borrow_mut();
             let heartbeat = &mut fake.heartbeat;
             heartbeat.sequence += 1;
-            if command_request.fencing_token < heartbeat.fencing_token
-                || command_request.agent_epoch != heartbeat.agent_epoch
+            if request.fencing_token < heartbeat.fencing_token
+                || request.agent_epoch != heartbeat.agent_epoch
             {
                 return Response::json(409, &*heartbeat);
             }
         }
-        self.execute(
-            worker,
-            command_request.fencing_token,
-            &command_request.commands,
-        );
+        self.execute(worker, request.fencing_token, &request.commands);
         Response::json(200, &worker.fake.borrow().heartbeat)
     }
 
+    /// Returns whether a worker has executed and answered a direct command that starts the task `name`.
+    pub fn was_launched_directly(worker: &Worker, name: &str) -> bool {
+        let executed = worker.executed_commands.borrow();
+        let mut commands = executed.iter().flat_map(|body| &body.commands);
+        commands.any(|command| matches!(command, Command::Launch { task, .. } if task == name))
+    }
+
+    /// Delivers a copy of the start commands among the direct commands that a worker has executed and answered. Nobody
+    /// gets the answers.
+    pub fn repeat_direct_launches(&self, worker: &Rc<Worker>) {
+        if worker.removed.get() || worker.hangs(self.now()) {
+            return;
+        }
+        let executed: Vec<DirectCommandBody> = worker.executed_commands.borrow().clone();
+        for mut copy in executed {
+            copy.commands
+                .retain(|command| matches!(command, Command::Launch { .. }));
+            if !copy.commands.is_empty() {
+                self.execute_direct_commands(worker, &copy);
+            }
+        }
+    }
+
+    /// Ends all tasks on a machine that is back at once, in the agent epoch that it was in.
+    pub fn restart_in_same_epoch(&self, worker: &Worker) {
+        self.restart(worker);
+        worker.fake.borrow_mut().heartbeat.agent_epoch -= 1;
+    }
+
+    /// Ends all tasks on a machine that is back at once and begins anew, as if its worker had never run before.
+    pub fn restart_anew(&self, worker: &Worker) {
+        self.restart(worker);
+        let heartbeat = &mut worker.fake.borrow_mut().heartbeat;
+        heartbeat.agent_epoch = 1;
+        heartbeat.sequence = 0;
+        heartbeat.fencing_token = 0;
+    }
+
     /// Executes commands, and plans the run of each task that starts.
     fn execute(&self, worker: &Rc<Worker>, fencing_token: u64, commands: &[Command]) {
         for command in commands {
--- a/src/fleet/direct_calls.rs
+++ b/src/fleet/direct_calls.rs
@@ -116,6 +116,7 @@
     ) {
         let heartbeat_interval_s = self.config.deployment.workers.heartbeat_interval_s;
         if let Some(machine) = self.machines.get_mut(&index)
+            && machine.direct_launches_left() > 0
             && machine
                 .last_contact_at
                 .is_some_and(|at| at + heartbeat_interval_s - now > wait_limit_s)
--- a/src/fleet/liveness.rs
+++ b/src/fleet/liveness.rs
@@ -92,13 +92,15 @@
     }
 
     /// Returns whether the lease of a machine's worker must not be renewed: a direct launch of an attempt that must not
-    /// run any more may still be executed there, however late. The machine is being returned, but the cloud may not
+    /// run any more may still be executed there, or executed once more, however late. The machine is being returned, but the cloud may not
     /// answer.
     pub fn must_let_lease_expire(&self, machine: &str, now: Time) -> bool {
         let limit_s = self.in_doubt_limit_s();
         self.find(machine)
             .and_then(|index| self.machines.get(&index))
-            .is_some_and(|machine| machine.has_launch_in_doubt(now, limit_s))
+            .is_some_and(|machine| {
+                machine.has_lost_attempts || machine.has_launch_in_doubt(now, limit_s)
+            })
     }
 
     /// Returns the attempts that are certain not to run: all attempts on machines whose worker's lease has expired. On
@@ -181,7 +183,7 @@
             return attempts.all(|a| a.completed || a.running_since.is_none())
                 || now - machine.backoff_until > lease_s;
         }
-        if machine.has_launch_in_doubt(now, self.in_doubt_limit_s()) {
+        if machine.has_lost_attempts || machine.has_launch_in_doubt(now, self.in_doubt_limit_s()) {
             return true;
         }
         if let Some(since) = machine.unresponsive_since {
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -15,6 +15,10 @@
 use crate::scheduler::attempt_limits::ATTEMPTS_PER_MACHINE_MAX;
 use crate::scheduler::image_cache::ImageCache;
 
+/// The maximum number of attempts that are launched by direct calls in an agent epoch of a worker. Its heartbeats list each of
+/// them until the epoch ends, so the others are launched in the answers to heartbeats.
+const DIRECT_LAUNCHES_PER_EPOCH_MAX: u32 = 16;
+
 /// Which tasks a machine is kept for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum MachineRole {
@@ -122,6 +126,15 @@
     /// Attempts that exited in the present agent epoch and must not be forgotten by the worker: a direct launch
     /// could start them again, see [`TaskAttempt::may_be_relaunched`].
     attempts_not_to_forget: HashSet<NamedAttempt>,
+    /// Whether the worker lost some of these attempts all the same. The machine is returned, and its worker's lease is not
+    /// renewed.
+    pub(super) has_lost_attempts: bool,
+    /// The agent epoch and the sequence number of the last heartbeat since the newest that was older than that one.
+    last_old_heartbeat: Option<(u64, u64)>,
+    /// Number of such heartbeats in a row whose numbers follow one another.
+    old_heartbeats_in_a_row: u32,
+    /// Number of launches sent by direct calls in the present agent epoch.
+    pub(super) direct_launches: u32,
 }
 
 impl Machine {
@@ -166,6 +179,10 @@
             unacknowledged_heartbeats: 0,
             unresponsive_since: None,
             attempts_not_to_forget: HashSet::new(),
+            last_old_heartbeat: None,
+            old_heartbeats_in_a_row: 0,
+            direct_launches: 0,
+            has_lost_attempts: false,
         }
     }
 
@@ -227,8 +244,18 @@
 
     /// How many more attempts the machine may hold, so that its heartbeats can list them all.
     pub(crate) fn free_attempts(&self) -> u32 {
-        let listed = u32::try_from(self.attempts.len()).unwrap_or(u32::MAX);
-        ATTEMPTS_PER_MACHINE_MAX.saturating_sub(listed)
+        let listed = self.attempts.len() + self.attempts_not_to_forget.len();
+        ATTEMPTS_PER_MACHINE_MAX.saturating_sub(u32::try_from(listed).unwrap_or(u32::MAX))
+    }
+
+    /// How many more attempts may be launched by direct calls in the present agent epoch.
+    pub(crate) fn direct_launches_left(&self) -> u32 {
+        DIRECT_LAUNCHES_PER_EPOCH_MAX.saturating_sub(self.direct_launches)
+    }
+
+    /// Records that launches are sent by a direct call.
+    pub(crate) fn record_direct_launches(&mut self, launches: u32) {
+        self.direct_launches += launches;
     }
 
     /// How many attempts the machine may hold beside those that have completed.
--- a/src/fleet/machine/heartbeats.rs
+++ b/src/fleet/machine/heartbeats.rs
@@ -2,14 +2,17 @@
 //! this leader's answers.
 
 use super::{HeartbeatOrigin, Machine};
-use crate::fleet::AttemptKey;
 use crate::fleet::machine_catalog::MachineCatalog;
+use crate::fleet::{AttemptKey, NamedAttempt};
 use crate::protocol::workers::Heartbeat;
 use crate::runtime::Time;
 
 /// A worker counts as unresponsive after this many consecutive periodic heartbeats that don't acknowledge an answer.
 const UNRESPONSIVE_AFTER_HEARTBEATS: u32 = 2;
 
+/// A worker counts as begun anew after this many heartbeats in a row that are older than the newest known.
+const BEGUN_ANEW_HEARTBEATS: u32 = 3;
+
 impl Machine {
     /// Returns whether a heartbeat is the newest known of this machine.
     pub(crate) fn is_latest_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
@@ -52,16 +55,18 @@
         now: Time,
     ) {
         if heartbeat.agent_epoch > self.agent_epoch {
-            // The worker rejects direct calls for an earlier agent epoch from now on, so the launches that they carried
-            // are no longer in doubt.
+            // The worker rejects direct calls for an earlier agent epoch from now on, and copies of them.
             self.attempts_not_to_forget.clear();
-            for task_attempt in self.attempts.values_mut().filter(|a| a.in_doubt()) {
+            self.has_lost_attempts = false;
+            self.direct_launches = 0;
+            for task_attempt in self.attempts.values_mut() {
                 task_attempt.direct_launch = None;
             }
         }
         if origin == HeartbeatOrigin::Periodic && self.was_acknowledged_before {
             self.track_acknowledgement(heartbeat, now);
         }
+        self.last_old_heartbeat = None;
         self.agent_epoch = heartbeat.agent_epoch;
         self.sequence = heartbeat.sequence;
         self.fencing_token = self.fencing_token.max(heartbeat.fencing_token);
@@ -73,6 +78,42 @@
         self.preemption_at = heartbeat.preemption_notice_s.map(|s| now + s);
     }
 
+    /// Records a heartbeat that is not newer than the newest known. Single ones are copies that arrive late. A worker whose
+    /// heartbeats go on one by one from a lower number, with no newer one between them, has begun anew and has lost the
+    /// attempts that it must not have forgotten.
+    pub(crate) fn record_old_heartbeat(&mut self, heartbeat: &Heartbeat) {
+        let number = (heartbeat.agent_epoch, heartbeat.sequence);
+        let goes_on = self
+            .last_old_heartbeat
+            .is_some_and(|(epoch, sequence)| (epoch, sequence.saturating_add(1)) == number);
+        self.old_heartbeats_in_a_row = if goes_on {
+            self.old_heartbeats_in_a_row.saturating_add(1)
+        } else {
+            1
+        };
+        self.last_old_heartbeat = Some(number);
+        if self.old_heartbeats_in_a_row >= BEGUN_ANEW_HEARTBEATS
+            && !self.attempts_not_to_forget.is_empty()
+            && !self.has_lost_attempts
+        {
+            tracing::warn!(machine = %self.name, "worker began anew and lost exited attempts");
+            self.has_lost_attempts = true;
+        }
+    }
+
+    /// Compares the exited attempts that the worker must not have forgotten with those that a new heartbeat lists. A worker
+    /// that lost them within its agent epoch would start them again on a copy of their direct launch.
+    pub(crate) fn check_lost_attempts(&mut self, heartbeat: &Heartbeat) {
+        let is_listed = |attempt: &NamedAttempt| {
+            let mut tasks = heartbeat.tasks.iter();
+            tasks.any(|t| t.attempt == attempt.attempt && t.task == attempt.task)
+        };
+        if !self.has_lost_attempts && !self.attempts_not_to_forget.iter().all(is_listed) {
+            tracing::warn!(machine = %self.name, "worker lost exited attempts within its agent epoch");
+            self.has_lost_attempts = true;
+        }
+    }
+
     /// Derives from the sequence number of a periodic heartbeat whether the worker receives this leader's answers. If
     /// it does, it sends all heartbeats here and the sequence has no gaps. If the answers are lost, the worker tries
     /// other controllers in between and finally begins a new agent epoch with them.
@@ -114,6 +155,8 @@
         self.agent_epoch = agent_epoch;
         self.sequence = 0;
         self.attempts_not_to_forget.clear();
+        self.has_lost_attempts = false;
+        self.direct_launches = 0;
         self.attempts.keys().copied().collect()
     }
 }
--- a/src/fleet/task_attempt.rs
+++ b/src/fleet/task_attempt.rs
@@ -2,7 +2,7 @@
 //! may still start it.
 
 use crate::jobs::JobIndex;
-use crate::protocol::workers::{ExitReason, TaskState};
+use crate::protocol::workers::TaskState;
 use crate::resources::Resources;
 use crate::runtime::Time;
 
@@ -110,10 +110,10 @@
         )
     }
 
-    /// Returns whether a late or repeated direct launch could start the attempt again once the worker has forgotten
-    /// it. If the attempt's launch is answered and it completed, starting it again is harmless, as it completes again.
-    pub(crate) fn may_be_relaunched(&self, exit_reason: ExitReason) -> bool {
-        self.in_doubt() || (self.direct_launch.is_some() && exit_reason != ExitReason::Done)
+    /// Returns whether a copy of its direct launch could start the attempt again once the worker has forgotten it. Copies
+    /// of a command that was executed and answered may arrive at any time, also after the job was cancelled.
+    pub(crate) fn may_be_relaunched(&self) -> bool {
+        self.direct_launch.is_some()
     }
 
     /// Returns whether a message of this origin may carry a launch of the attempt: as far as this leader knows, the
@@ -154,6 +154,14 @@
                 AbsentAttempt::MayStart
             };
         }
+        if self.state.is_some() && self.may_be_relaunched() {
+            // The worker has lost the attempt within its agent epoch. A copy of the direct launch may start it again, so
+            // the attempt stays bound to this machine, and is launched there again.
+            self.state = None;
+            self.running_since = None;
+            self.launch_sent = false;
+            self.direct_launch = Some(DirectLaunchState::Unanswered);
+        }
         if self.state.is_some() {
             return AbsentAttempt::Gone;
         }
--- a/src/leader/direct_commands.rs
+++ b/src/leader/direct_commands.rs
@@ -44,6 +44,8 @@
             return;
         };
         let may_launch = machine.take_launch_permission(origin, self.fencing_token);
+        let mut direct_launches = 0;
+        let direct_launches_max = machine.direct_launches_left();
         for (key, task_attempt) in &mut machine.attempts {
             if commands.len() >= COMMANDS_MAX {
                 break;
@@ -61,17 +63,20 @@
                     });
                 }
             } else if may_launch
+                && (origin == HeartbeatOrigin::Periodic || direct_launches < direct_launches_max)
                 && task_attempt.awaits_launch(origin)
                 && job.end.is_none()
                 && job.is_assignment_stored(key.task, key.attempt)
             {
                 task_attempt.record_launch(origin);
+                direct_launches += u32::from(origin == HeartbeatOrigin::DirectReply);
                 commands.push(Command::Launch {
                     task: task_name(&job.id, key.task),
                     attempt: key.attempt,
                 });
             }
         }
+        machine.record_direct_launches(direct_launches);
     }
 
     /// Returns the direct calls to send now, at most `calls_max`. A worker is called at most once in `call_interval_s`
--- a/src/leader/reconciliation.rs
+++ b/src/leader/reconciliation.rs
@@ -60,6 +60,9 @@
         // A heartbeat that isn't newer proves nothing about the present state, and no commands follow from it: the
         // worker may no longer wait for the answer.
         if !machine.is_new_heartbeat(heartbeat) {
+            if origin == HeartbeatOrigin::Periodic {
+                machine.record_old_heartbeat(heartbeat);
+            }
             return None;
         }
         machine.record_heartbeat(heartbeat, origin, now);
@@ -101,8 +104,10 @@
             commands.extend(self.on_reported_task(machine_index, reported, key, fenced, now));
         }
         let machine = self.fleet.machines.get_mut(&machine_index);
-        let gone =
-            machine.map(|machine| machine.reconcile_absent_attempts(&listed, origin, fenced));
+        let gone = machine.map(|machine| {
+            machine.check_lost_attempts(heartbeat);
+            machine.reconcile_absent_attempts(&listed, origin, fenced)
+        });
         for key in gone.unwrap_or_default() {
             self.release_attempt(machine_index, key, now);
         }
@@ -189,10 +194,7 @@
             return ExitedAttemptAction::KeepReporting;
         }
         let job = &self.jobs[&key.job];
-        if known
-            .as_ref()
-            .is_some_and(|attempt| attempt.may_be_relaunched(exit_reason))
-        {
+        if known.as_ref().is_some_and(TaskAttempt::may_be_relaunched) {
             machine.forbid_forgetting(NamedAttempt {
                 task: task_name(&job.id, key.task),
                 attempt: key.attempt,
@@ -201,7 +203,13 @@
         // A service's task is never done: one that exits is placed again.
         if exit_reason == ExitReason::Done && job.spec.kind != JobKind::Service {
             machine.complete_attempt(&key);
-            return self.on_attempt_completed(key, known, now);
+            let may_be_relaunched = known.as_ref().is_some_and(TaskAttempt::may_be_relaunched);
+            let action = self.on_attempt_completed(key, known, now);
+            if action == ExitedAttemptAction::Forget && may_be_relaunched {
+                // The worker keeps reporting the attempt until its agent epoch ends, but the job needs it no more.
+                self.release_attempt(machine_index, key, now);
+            }
+            return action;
         }
         if known.is_some() {
             self.on_incomplete_exit(machine_index, key, exit_reason, now);
--- a/src/tests/scenarios/direct_commands.rs
+++ b/src/tests/scenarios/direct_commands.rs
@@ -60,6 +60,14 @@
     store.schedule_and_write(&mut leader, 3.0);
     worker.send_heartbeat(&mut leader, 4.0);
     assert_eq!(store.stored_end("j-1"), Some(JobEnd::Done));
+    // The worker keeps the attempt, so that a copy of the launch starts nothing. The leader needs it no more.
+    worker.execute(leader.fencing_token, &message.commands);
+    assert_eq!(worker.running(), Vec::<String>::new());
+    assert_eq!(worker.heartbeat.tasks.len(), 1);
+    assert_eq!(leader.state_size().attempts, 0);
+    // A new leader has it forgotten: the worker rejects commands with the former token.
+    let mut leader = store.elect("n1", 5.0);
+    exchange_heartbeats(&mut worker, &mut leader, 6.0);
     assert!(worker.heartbeat.tasks.is_empty());
 }
 
