Launch up to 128 attempts directly in an epoch of a worker, and count those that are kept

Cause: with 16, machines that live long launch most tasks by the answers to heartbeats.

Change: 128, some 15 KB of a heartbeat. The names that a leader keeps for them count as its memory.

--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -17,7 +17,7 @@
 
 /// The maximum number of attempts that are launched by direct calls in an agent epoch of a worker. Its heartbeats list each of
 /// them until the epoch ends, so the others are launched in the answers to heartbeats.
-const DIRECT_LAUNCHES_PER_EPOCH_MAX: u32 = 16;
+const DIRECT_LAUNCHES_PER_EPOCH_MAX: u32 = 128;
 
 /// Which tasks a machine is kept for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -244,7 +244,7 @@
 
     /// How many more attempts the machine may hold, so that its heartbeats can list them all.
     pub(crate) fn free_attempts(&self) -> u32 {
-        let listed = self.attempts.len() + self.attempts_not_to_forget.len();
+        let listed = self.attempts.len() + self.kept_attempts();
         ATTEMPTS_PER_MACHINE_MAX.saturating_sub(u32::try_from(listed).unwrap_or(u32::MAX))
     }
 
@@ -333,6 +333,11 @@
         self.attempts_not_to_forget.insert(attempt);
     }
 
+    /// How many exited attempts must not be forgotten in the present agent epoch.
+    pub(crate) fn kept_attempts(&self) -> usize {
+        self.attempts_not_to_forget.len()
+    }
+
     /// Returns whether an exited attempt may be forgotten in the present agent epoch.
     pub(crate) fn may_forget(&self, attempt: &NamedAttempt) -> bool {
         !self.attempts_not_to_forget.contains(attempt)
--- a/src/scheduler/attempt_limits.rs
+++ b/src/scheduler/attempt_limits.rs
@@ -2,6 +2,7 @@
 //! heartbeat their number on one machine, and the state service's write rate those that are not stored yet.
 
 use crate::config::Deployment;
+use crate::fleet::Machine;
 use crate::http::BODY_BYTES_MAX;
 use crate::jobs::JobIndex;
 use crate::leader::LEADER_WRITE_SHARE;
@@ -11,6 +12,8 @@
 
 /// Memory of an attempt in the leader's state, the replica, the assignment log and a reply to a new leader, in bytes.
 const ATTEMPT_BYTES: f64 = 512.0;
+/// Memory of the name of an exited attempt that its worker must not forget, in bytes.
+const KEPT_ATTEMPT_BYTES: f64 = 128.0;
 /// Memory of a completed task of an unfinished job there, in bytes: it is recorded until the job has ended.
 const COMPLETED_TASK_BYTES: f64 = 160.0;
 /// The share of the process's memory that attempts and completed tasks may take.
@@ -186,11 +189,12 @@
     deployment.limits.ram_mb * BYTES_PER_MB * TASKS_MEMORY_SHARE
 }
 
-/// Memory of the attempts on all machines, in bytes.
+/// Memory of the attempts on all machines, and of the exited ones that are kept there, in bytes.
 fn attempt_bytes(view: &SchedulingView<'_>) -> f64 {
-    let machines = view.fleet.machines.values();
-    let attempts: usize = machines.map(|machine| machine.attempts.len()).sum();
-    attempts as f64 * ATTEMPT_BYTES
+    let machines = || view.fleet.machines.values();
+    let attempts: usize = machines().map(|machine| machine.attempts.len()).sum();
+    let kept: usize = machines().map(Machine::kept_attempts).sum();
+    attempts as f64 * ATTEMPT_BYTES + kept as f64 * KEPT_ATTEMPT_BYTES
 }
 
 /// Memory of the completed tasks of unfinished jobs, in bytes.
